--- /dev/null
+++ b/include/magnoliatide/backend/pool.h
@@ -0,0 +1,53 @@
+// Idle connections to backend servers, kept for the next request.
+#ifndef MAGNOLIATIDE_BACKEND_POOL_H
+#define MAGNOLIATIDE_BACKEND_POOL_H
+
+#include "magnoliatide/http/client.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace magnoliatide::backend {
+
+struct PoolOptions
+{
+  std::string localHost; ///< IP number to connect from.
+  Duration connectBound = Seconds(1);
+  /// Idle connections older than this are closed, so that a request is not
+  /// written to one that the backend server is about to close.
+  Duration idleBound = Seconds(4);
+  std::size_t idlePerBackend = 64;
+};
+
+/// Keeps connections apart by event loop. Safe to use from several threads.
+class Pool
+{
+public:
+  explicit Pool(PoolOptions aOptions);
+  ~Pool();
+
+  /// Returns a connection on the calling coroutine's event loop, or null if
+  /// none could be made.
+  boost::asio::awaitable<std::shared_ptr<http::ClientConnection>> Acquire(
+    document::Endpoint aPeer);
+
+  /// Returns whether a backend server answers GET /health on a connection of
+  /// its own.
+  boost::asio::awaitable<bool> Healthy(document::Endpoint aPeer);
+
+  /// Gives a connection back. It is kept only if its answer was whole.
+  void Release(const boost::asio::any_io_executor& aExecutor,
+               const document::Endpoint& aPeer,
+               std::shared_ptr<http::ClientConnection> aConnection);
+
+private:
+  struct Store;
+  std::unique_ptr<Store> mStore;
+};
+
+} // namespace magnoliatide::backend
+
+#endif
--- /dev/null
+++ b/include/magnoliatide/document/document.h
@@ -0,0 +1,161 @@
+// The environment document: which backend servers serve which kinds of work,
+// at which tier and for which teams. Operators drive the system by it alone.
+#ifndef MAGNOLIATIDE_DOCUMENT_DOCUMENT_H
+#define MAGNOLIATIDE_DOCUMENT_DOCUMENT_H
+
+#include "magnoliatide/core/fault.h"
+#include "magnoliatide/core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace magnoliatide::document {
+
+/// A host and a port as written, for example "127.0.0.1:7001".
+struct Endpoint
+{
+  std::string host;
+  std::uint16_t port = 0;
+
+  bool operator==(const Endpoint&) const = default;
+};
+
+/// Reads "host:port", where the host is an IP number.
+bool
+ParseEndpoint(std::string_view aText, Endpoint& aOut);
+
+/// Formats an endpoint as "host:port".
+std::string
+Format(const Endpoint& aEndpoint);
+
+/// A customer of the environment, known by bearer token.
+struct Team
+{
+  std::string name;
+  std::vector<std::string> tokenDigests; ///< SHA-256, hexadecimal.
+  double weight = 1;                     ///< Share beside other teams.
+  int maxConcurrent = 256;               ///< Requests held at one VM.
+  double ratePerSecond = 1000;           ///< Requests, at one VM.
+  double ratePerMinute = 60000;          ///< Requests, at one VM.
+  std::vector<std::string> environments; ///< Empty: all.
+};
+
+/// A kind of work: the unit to which operators give a tier and a share.
+struct Kind
+{
+  std::string name;
+  std::string service;
+  std::string tierName;
+  int tier = 0;                   ///< Index in Document::tiers; 0 is highest.
+  std::vector<std::string> teams; ///< "*" admits every team.
+  double share = 0;               ///< Guaranteed part of its tier, 0 to 1.
+  Duration deadline = Seconds(30);
+  std::string model; ///< Used where the request names none.
+
+  /// Returns whether a team may send this kind.
+  bool Admits(const std::string& aTeam) const;
+};
+
+enum class ServiceType
+{
+  kModel, ///< Served by engines.
+  kPlain, ///< Served by HTTP pass-through.
+};
+
+struct Service
+{
+  std::string name;
+  std::string typeName;
+  ServiceType type = ServiceType::kModel;
+  /// Calls that may run more than once, as "GET /stock" or "GET /orders/*".
+  std::vector<std::string> idempotent;
+  int queueLimit = 512; ///< Requests waiting at one VM.
+  Duration firstTokenTarget = Milliseconds(400);
+  Duration interTokenTarget = Milliseconds(50);
+
+  /// Returns whether a call is declared idempotent.
+  bool IsIdempotent(std::string_view aMethod, std::string_view aPath) const;
+};
+
+/// A process that runs requests. One of a model service is an engine.
+struct BackendServer
+{
+  std::string name;
+  std::string service;
+  std::string addressText;
+  Endpoint address;
+  std::string zone;
+  std::vector<std::string> models;
+  std::vector<std::string> adapters;
+  std::string version;
+  std::string role = "mixed";
+  int slots = 8;              ///< First limit of requests in progress.
+  int maxSlots = 64;          ///< Upper bound of the learned limit.
+  bool checksFencing = false; ///< Refuses orders with an old generation.
+  std::vector<std::string> environments; ///< Empty: all.
+};
+
+/// Limits that hold for the whole environment.
+struct Limits
+{
+  Duration keyLifetime = std::chrono::hours(1);
+  int claimElectors = 5;
+  std::uint64_t maxBodyBytes = 1024 * 1024;
+  Duration progressBound = Seconds(10); ///< Longest silence of a backend.
+  int readersPerZone = 2; ///< VMs in a zone that watch the platform.
+};
+
+/// A checked document. Immutable once parsed.
+struct Document
+{
+  std::string environment;
+  std::uint64_t generation = 0;
+  std::string origin; ///< Trial document it was promoted from, if any.
+  std::string digest; ///< SHA-256 of the text.
+  std::string text;
+  std::vector<std::string> tiers; ///< Highest first.
+  std::vector<Team> teams;
+  std::vector<Kind> kinds;
+  std::vector<Service> services;
+  std::vector<BackendServer> backends;
+  std::vector<std::string> slots; ///< Names of VM slots, as "zone/name".
+  Limits limits;
+
+  /// Token digest to index in teams.
+  std::unordered_map<std::string, std::size_t> teamByToken;
+
+  const Team* FindTeam(std::string_view aName) const;
+  const Kind* FindKind(std::string_view aName) const;
+  const Service* FindService(std::string_view aName) const;
+  const BackendServer* FindBackend(std::string_view aName) const;
+};
+
+/// Parses and checks a document.
+///
+/// @param aSource The name to use in errors.
+/// @param aText The INI text.
+/// @return The document, or a FaultList that holds every error.
+leaf::result<Document>
+ParseDocument(const std::string& aSource, const std::string& aText);
+
+/// Returns what a change does, a line for each difference.
+std::vector<std::string>
+Difference(const Document& aFrom, const Document& aTo);
+
+/// Makes a production document from a trial one.
+///
+/// @param aTrial The trial document, in force in its environment.
+/// @param aTarget The environment to make it for.
+/// @param aGeneration The generation of the result.
+/// @return The text, with the origin recorded.
+std::string
+PromotedText(const Document& aTrial,
+             const std::string& aTarget,
+             std::uint64_t aGeneration);
+
+} // namespace magnoliatide::document
+
+#endif
--- /dev/null
+++ b/include/magnoliatide/document/settings.h
@@ -0,0 +1,63 @@
+// The settings of one VM process, read from an INI file at its start.
+#ifndef MAGNOLIATIDE_DOCUMENT_SETTINGS_H
+#define MAGNOLIATIDE_DOCUMENT_SETTINGS_H
+
+#include "magnoliatide/document/document.h"
+
+#include <string>
+#include <vector>
+
+namespace magnoliatide::document {
+
+/// A key that authenticates messages between VMs.
+struct PeerKey
+{
+  std::string id;
+  std::string secret; ///< Raw bytes, at least 16.
+};
+
+struct Settings
+{
+  std::string slot; ///< "zone/name", as in the document's [vms] section.
+  std::string environment;
+  std::string callerText;
+  std::string peerText;
+  std::string adminText;
+  Endpoint callerAddress;
+  Endpoint peerAddress;     ///< UDP and TCP, as other VMs reach this one.
+  std::string peerBindText; ///< Where to listen, if not at peerAddress.
+  Endpoint peerBind;
+  Endpoint adminAddress;
+  int threads = 2;
+  std::string platformText;
+  Endpoint platformAddress;
+  std::vector<std::string> peerKeyTexts;
+  std::vector<PeerKey> peerKeys; ///< The first one signs; all verify.
+  std::vector<std::string> seedTexts;
+  std::vector<Endpoint> seeds;
+  std::string adminTokenDigest;
+  std::string logLevel = "info";
+  std::string choiceRule = "predicted";
+  std::string queueRule = "tiered-fair";
+  std::string slotScheme = "lease";
+  std::string certificateFile;
+  std::string keyFile;
+  Duration drainTime = Seconds(60);
+
+  /// Returns the availability zone, the part of the slot before the slash.
+  std::string Zone() const;
+};
+
+/// Parses and checks settings.
+///
+/// @return The settings, or a FaultList that holds every error.
+leaf::result<Settings>
+ParseSettings(const std::string& aSource, const std::string& aText);
+
+/// Reads a whole file, or gives a FaultList.
+leaf::result<std::string>
+ReadFile(const std::string& aPath);
+
+} // namespace magnoliatide::document
+
+#endif
--- /dev/null
+++ b/include/magnoliatide/node/vm.h
@@ -0,0 +1,30 @@
+// One VM of the system: the process that `magnoliatide serve` runs.
+#ifndef MAGNOLIATIDE_NODE_VM_H
+#define MAGNOLIATIDE_NODE_VM_H
+
+#include "magnoliatide/document/settings.h"
+
+#include <memory>
+
+namespace magnoliatide::node {
+
+class Vm
+{
+public:
+  virtual ~Vm() = default;
+
+  /// Serves until it is asked to stop and has drained.
+  virtual void Run() = 0;
+
+  /// Begins a planned stop: no work in progress is cut off. May be called
+  /// from any thread.
+  virtual void BeginStop() = 0;
+};
+
+/// Starts a VM. Throws std::runtime_error when an address cannot be bound.
+std::unique_ptr<Vm>
+StartVm(const document::Settings& aSettings);
+
+} // namespace magnoliatide::node
+
+#endif
--- /dev/null
+++ b/load/callers.cpp
@@ -0,0 +1,363 @@
+// Open-loop callers.
+#include "callers.h"
+
+#include "magnoliatide/core/digest.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <atomic>
+#include <cmath>
+#include <cstdlib>
+#include <mutex>
+#include <thread>
+
+namespace magnoliatide::load {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr int kBytesPerToken = 4;
+constexpr Duration kCallBound = Seconds(60);
+constexpr Duration kResendGap = Milliseconds(40);
+
+/// A request that is ready to be sent.
+struct Planned
+{
+  const Traffic* traffic = nullptr;
+  Duration at{}; ///< After the start of the run.
+  std::size_t vm = 0;
+  std::string key;
+  std::string prompt;
+  int promptTokens = 0;
+  int outputTokens = 0;
+};
+
+using Random = std::mt19937_64;
+
+int
+LogUniform(Random& aRandom, int aLeast, int aMost)
+{
+  std::uniform_real_distribution<double> draw(std::log(std::max(1, aLeast)),
+                                              std::log(std::max(1, aMost)));
+  return static_cast<int>(std::lround(std::exp(draw(aRandom))));
+}
+
+std::string
+PromptOf(Random& aRandom, const Traffic& aTraffic, int aTokens)
+{
+  std::string text =
+    aTraffic.promptText + ToHex(aRandom()) + " " + aTraffic.kind + " ";
+  const auto size = static_cast<std::size_t>(aTokens * kBytesPerToken);
+  while (text.size() < size) {
+    text += "festival order " + std::to_string(aRandom() % 100000) + " ";
+  }
+  return text;
+}
+
+Planned
+PlanOne(const Traffic& aTraffic, Random& aRandom)
+{
+  Planned planned;
+  planned.traffic = &aTraffic;
+  planned.promptTokens =
+    LogUniform(aRandom, aTraffic.leastPrompt, aTraffic.mostPrompt);
+  planned.outputTokens =
+    LogUniform(aRandom, aTraffic.leastOutput, aTraffic.mostOutput);
+  planned.prompt = PromptOf(aRandom, aTraffic, planned.promptTokens);
+  return planned;
+}
+
+std::vector<Planned>
+Plan(const std::vector<Traffic>& aTraffic, std::size_t aVms, Random& aRandom)
+{
+  std::vector<Planned> plan;
+  std::size_t turn = 0;
+  for (const auto& traffic : aTraffic) {
+    std::exponential_distribution<double> gap(std::max(0.001, traffic.rate));
+    Duration at = traffic.begin + FromSeconds(gap(aRandom));
+    while (traffic.rate > 0 && at < traffic.begin + traffic.length) {
+      Planned planned = PlanOne(traffic, aRandom);
+      planned.at = at;
+      const std::string key = "key-" + ToHex(aRandom());
+      for (int send = 0; send < (traffic.keyed ? traffic.sends : 1); ++send) {
+        planned.vm = (turn + static_cast<std::size_t>(send)) % aVms;
+        planned.key = traffic.keyed ? key : "";
+        plan.push_back(planned);
+        planned.at += kResendGap;
+      }
+      turn += 1;
+      at += FromSeconds(gap(aRandom));
+    }
+  }
+  std::sort(plan.begin(), plan.end(), [](const auto& aL, const auto& aR) {
+    return aL.at < aR.at;
+  });
+  return plan;
+}
+
+http::Request
+RequestOf(const Planned& aPlanned)
+{
+  const auto& traffic = *aPlanned.traffic;
+  const auto millis =
+    std::chrono::duration_cast<Milliseconds>(traffic.deadline).count();
+  http::Request request;
+  request.method = traffic.method;
+  request.headers = {
+    { "Authorization", "Bearer " + TokenOf(traffic.team) },
+    { "X-Kind", traffic.kind },
+    { "X-Deadline-Ms", std::to_string(millis) },
+    { "Content-Type", "application/json" },
+  };
+  if (!aPlanned.key.empty()) {
+    request.headers.push_back({ "Idempotency-Key", aPlanned.key });
+  }
+  if (!traffic.service.empty()) {
+    request.target = "/services/" + traffic.service + traffic.path;
+    request.body = request.method == "GET" ? "" : R"({"amount":1})";
+    return request;
+  }
+  json::object body;
+  body["model"] = traffic.model;
+  body["prompt"] = aPlanned.prompt;
+  body["max_tokens"] = aPlanned.outputTokens;
+  body["stream"] = traffic.stream;
+  request.target = "/v1/completions";
+  request.body = json::serialize(body);
+  return request;
+}
+
+int
+CountEvents(const std::string& aBody)
+{
+  int events = 0;
+  std::size_t at = 0;
+  while ((at = aBody.find("\ndata: {", at)) != std::string::npos) {
+    events += 1;
+    at += 1;
+  }
+  return events + (aBody.starts_with("data: {") ? 1 : 0);
+}
+
+/// Judges the body of an answer with status 200.
+Ending
+JudgeBody(const Planned& aPlanned, const std::string& aBody)
+{
+  const auto& traffic = *aPlanned.traffic;
+  if (!traffic.service.empty()) {
+    const bool own =
+      aPlanned.key.empty() ||
+      aBody.find("\"key\":\"" + aPlanned.key + "\"") != std::string::npos;
+    return own ? Ending::kWhole : Ending::kCrossed;
+  }
+  const auto marker = "\"marker\":\"" + ToHex(Hash64(aPlanned.prompt)) + "\"";
+  if (aBody.find("\"marker\":") == std::string::npos) {
+    return Ending::kCut;
+  }
+  if (aBody.find(marker) == std::string::npos) {
+    return Ending::kCrossed;
+  }
+  if (!traffic.stream) {
+    return aBody.ends_with("}") ? Ending::kWhole : Ending::kCut;
+  }
+  const bool whole = CountEvents(aBody) == aPlanned.outputTokens &&
+                     aBody.ends_with("data: [DONE]\n\n");
+  return whole ? Ending::kWhole : Ending::kCut;
+}
+
+Ending
+JudgeRefusal(const http::Response& aResponse)
+{
+  const auto outcome = http::Find(aResponse.headers, "X-Outcome");
+  if (outcome == "not-run") {
+    return Ending::kNotRun;
+  }
+  return outcome == "running" ? Ending::kRunning : Ending::kUnknown;
+}
+
+Record
+RecordOf(const Planned& aPlanned)
+{
+  Record record;
+  record.traffic = aPlanned.traffic->name;
+  record.kind = aPlanned.traffic->kind;
+  record.team = aPlanned.traffic->team;
+  record.tier = aPlanned.traffic->tier;
+  record.plain = !aPlanned.traffic->service.empty();
+  record.deadline = aPlanned.traffic->deadline;
+  record.key = aPlanned.key;
+  record.promptTokens = aPlanned.promptTokens;
+  record.outputTokens = aPlanned.outputTokens;
+  record.vm = aPlanned.vm;
+  record.sent = Clock::now();
+  return record;
+}
+
+asio::awaitable<void>
+Exchange(const Planned& aPlanned, document::Endpoint aVm, Record& aRecord)
+{
+  const auto executor = co_await asio::this_coro::executor;
+  auto connection = http::MakeConnection(executor, aVm);
+  if (!co_await connection->Connect(Seconds(2))) {
+    aRecord.reason = "no-connection";
+    aRecord.ending = Ending::kNotRun;
+    co_return;
+  }
+  auto request = RequestOf(aPlanned);
+  request.headers.push_back({ "Connection", "close" });
+  auto status = co_await connection->Send(std::move(request), kCallBound);
+  http::Response response;
+  if (status == http::CallStatus::kDone) {
+    status = co_await connection->ReadHead(response, kCallBound);
+  }
+  if (status != http::CallStatus::kDone) {
+    aRecord.ending = Ending::kLost;
+    co_return;
+  }
+  aRecord.status = response.status;
+  aRecord.requestId = std::string(http::Find(response.headers, "X-Request-Id"));
+  aRecord.reason = std::string(http::Find(response.headers, "X-Reason"));
+  aRecord.recorded = http::Find(response.headers, "X-Recorded") == "yes";
+  const auto waited = http::Find(response.headers, "X-Waited-Ms");
+  aRecord.waited = Milliseconds(std::atoi(std::string(waited).c_str()));
+  std::string part;
+  while (status == http::CallStatus::kDone) {
+    status = co_await connection->ReadPart(part, kCallBound);
+    if (part.empty()) {
+      break;
+    }
+    if (response.body.empty()) {
+      aRecord.toFirst = Clock::now() - aRecord.sent;
+    }
+    response.body += part;
+  }
+  aRecord.toEnd = Clock::now() - aRecord.sent;
+  if (status != http::CallStatus::kDone) {
+    aRecord.ending = Ending::kCut;
+  } else if (response.status == 200) {
+    aRecord.ending = JudgeBody(aPlanned, response.body);
+  } else {
+    aRecord.ending = JudgeRefusal(response);
+  }
+}
+
+void
+FillTokenTime(Record& aRecord)
+{
+  if (aRecord.ending == Ending::kWhole && aRecord.outputTokens >= 2) {
+    aRecord.tokenMillis = ToSeconds(aRecord.toEnd - aRecord.toFirst) * 1000 /
+                          (aRecord.outputTokens - 1);
+  }
+}
+
+/// Records of a run, filled from several threads.
+struct Results
+{
+  std::mutex mutex;
+  std::vector<Record> records;
+  std::atomic<std::size_t> ended{ 0 };
+};
+
+asio::awaitable<void>
+RunOne(const Planned& aPlanned, document::Endpoint aVm, Results& aResults)
+{
+  Record record = RecordOf(aPlanned);
+  co_await Exchange(aPlanned, aVm, record);
+  FillTokenTime(record);
+  {
+    std::lock_guard<std::mutex> lock(aResults.mutex);
+    aResults.records.push_back(std::move(record));
+  }
+  aResults.ended.fetch_add(1);
+}
+
+asio::awaitable<void>
+Launch(const std::vector<Planned>& aPlan,
+       std::vector<document::Endpoint> aVms,
+       TimePoint aStart,
+       http::Threads& aThreads,
+       Results& aResults)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  for (const auto& planned : aPlan) {
+    timer.expires_at(aStart + planned.at);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    asio::co_spawn(aThreads.Next(),
+                   RunOne(planned, aVms[planned.vm], aResults),
+                   asio::detached);
+  }
+}
+
+} // namespace
+
+const char*
+Name(Ending aEnding)
+{
+  switch (aEnding) {
+    case Ending::kWhole:
+      return "whole";
+    case Ending::kNotRun:
+      return "not-run";
+    case Ending::kUnknown:
+      return "unknown";
+    case Ending::kRunning:
+      return "running";
+    case Ending::kCut:
+      return "cut";
+    case Ending::kCrossed:
+      return "crossed";
+    case Ending::kLost:
+      return "lost";
+  }
+  return "unknown";
+}
+
+std::vector<Record>
+SendAll(Fleet& aFleet,
+        const std::vector<Traffic>& aTraffic,
+        std::uint64_t aSeed,
+        const std::function<void(TimePoint)>& aDuring)
+{
+  Random random(aSeed);
+  const auto plan = Plan(aTraffic, aFleet.Vms().size(), random);
+  std::vector<document::Endpoint> addresses;
+  for (const auto& vm : aFleet.Vms()) {
+    addresses.push_back(vm.address);
+  }
+  Results results;
+  const auto start = Clock::now();
+  asio::co_spawn(aFleet.Threads().Next(),
+                 Launch(plan, addresses, start, aFleet.Threads(), results),
+                 asio::detached);
+  if (aDuring) {
+    aDuring(start);
+  }
+  while (results.ended.load() < plan.size()) {
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  return std::move(results.records);
+}
+
+Record
+SendOne(Fleet& aFleet,
+        const Traffic& aTraffic,
+        std::size_t aVm,
+        const std::string& aKey,
+        std::uint64_t aSeed)
+{
+  Random random(aSeed);
+  Planned planned = PlanOne(aTraffic, random);
+  planned.vm = aVm;
+  planned.key = aKey;
+  Results results;
+  asio::co_spawn(aFleet.Threads().Next(),
+                 RunOne(planned, aFleet.Vms()[aVm].address, results),
+                 asio::use_future)
+    .get();
+  return results.records.front();
+}
+
+} // namespace magnoliatide::load
--- /dev/null
+++ b/load/checker.cpp
@@ -0,0 +1,241 @@
+// The check of a run.
+#include "checker.h"
+
+#include <boost/json.hpp>
+
+#include <set>
+
+namespace magnoliatide::load {
+
+namespace {
+
+constexpr std::size_t kMostExamples = 10;
+
+void
+AddExample(Findings& aFindings, std::string aText)
+{
+  if (aFindings.examples.size() < kMostExamples) {
+    aFindings.examples.push_back(std::move(aText));
+  }
+}
+
+/// Returns the name under which a backend server counts a record's runs.
+const std::string&
+RunName(const Record& aRecord)
+{
+  return aRecord.key.empty() ? aRecord.requestId : aRecord.key;
+}
+
+/// Returns whether the backend server that served it counts runs of it.
+bool
+IsCounted(const Record& aRecord)
+{
+  return !aRecord.plain || !aRecord.key.empty();
+}
+
+/// Sends of one key, or the one send of a request id.
+struct Sends
+{
+  std::vector<const Record*> records;
+};
+
+using SendsByName = std::map<std::string, Sends>;
+
+SendsByName
+Group(const std::vector<Record>& aRecords)
+{
+  SendsByName groups;
+  for (const auto& record : aRecords) {
+    if (IsCounted(record) && !RunName(record).empty()) {
+      groups[RunName(record)].records.push_back(&record);
+    }
+  }
+  return groups;
+}
+
+/// Returns whether a send was told "not-run" although the call ran before,
+/// or although no other send explains the run.
+bool
+HasFalseNotRun(const Sends& aSends, int aRuns)
+{
+  bool explained = aRuns == 0;
+  for (const auto* record : aSends.records) {
+    explained = explained || record->ending != Ending::kNotRun;
+  }
+  for (const auto* late : aSends.records) {
+    if (late->ending != Ending::kNotRun) {
+      continue;
+    }
+    for (const auto* early : aSends.records) {
+      const bool before = early->sent + early->toEnd < late->sent;
+      if (before && early->ending == Ending::kWhole) {
+        return true;
+      }
+    }
+  }
+  return !explained;
+}
+
+bool
+IsShed(const Record& aRecord)
+{
+  static const std::set<std::string> kReasons = {
+    "queue-full", "displaced", "deadline-unreachable", "expired", "tier-floor"
+  };
+  return aRecord.ending == Ending::kNotRun &&
+         kReasons.count(aRecord.reason) > 0;
+}
+
+int
+CountInversions(const std::vector<Record>& aRecords, Duration aWindow)
+{
+  std::vector<const Record*> shed;
+  for (const auto& record : aRecords) {
+    if (IsShed(record)) {
+      shed.push_back(&record);
+    }
+  }
+  int inversions = 0;
+  for (const auto& kept : aRecords) {
+    const auto begin = kept.sent + aWindow;
+    const auto end = kept.sent + kept.waited - aWindow;
+    if (kept.ending == Ending::kNotRun || begin >= end || kept.plain) {
+      continue;
+    }
+    for (const auto* record : shed) {
+      const auto at = record->sent + record->toEnd;
+      const bool higher = record->tier < kept.tier && !record->plain;
+      if (higher && at > begin && at < end) {
+        inversions += 1;
+        break;
+      }
+    }
+  }
+  return inversions;
+}
+
+} // namespace
+
+void
+RunLog::Collect(Fleet& aFleet, std::size_t aBackend)
+{
+  const auto& member = aFleet.Backends()[aBackend];
+  const auto result = aFleet.Get(member.address, "/control/runs");
+  if (result.status != http::CallStatus::kDone) {
+    return;
+  }
+  boost::system::error_code error;
+  const auto value = boost::json::parse(result.response.body, error);
+  if (error) {
+    return;
+  }
+  const auto& body = value.as_object();
+  auto& server =
+    mServers[member.name + "#" + std::to_string(member.process.Id())];
+  for (const auto& entry : body.at("runs").as_object()) {
+    server.runs[std::string(entry.key())] =
+      static_cast<int>(entry.value().to_number<std::int64_t>());
+  }
+  if (const auto* prefilled = body.if_contains("prefilled")) {
+    server.prefilled = prefilled->to_number<double>();
+  }
+}
+
+void
+RunLog::CollectAll(Fleet& aFleet)
+{
+  for (std::size_t i = 0; i < aFleet.Backends().size(); ++i) {
+    Collect(aFleet, i);
+  }
+}
+
+int
+RunLog::RunsOf(const std::string& aId) const
+{
+  int count = 0;
+  for (const auto& [name, server] : mServers) {
+    const auto found = server.runs.find(aId);
+    count += found == server.runs.end() ? 0 : found->second;
+  }
+  return count;
+}
+
+int
+RunLog::MostRuns() const
+{
+  std::map<std::string, int> totals;
+  int most = 0;
+  for (const auto& [name, server] : mServers) {
+    for (const auto& [id, count] : server.runs) {
+      most = std::max(most, totals[id] += count);
+    }
+  }
+  return most;
+}
+
+double
+RunLog::PrefilledTokens() const
+{
+  double tokens = 0;
+  for (const auto& [name, server] : mServers) {
+    tokens += server.prefilled;
+  }
+  return tokens;
+}
+
+std::size_t
+RunLog::size() const
+{
+  std::set<std::string> ids;
+  for (const auto& [name, server] : mServers) {
+    for (const auto& [id, count] : server.runs) {
+      ids.insert(id);
+    }
+  }
+  return ids.size();
+}
+
+bool
+Findings::Passed() const
+{
+  return crossed == 0 && doubleRuns == 0 && falseNotRun == 0 &&
+         unrunWhole == 0 && tierInversions == 0;
+}
+
+Findings
+Check(const std::vector<Record>& aRecords,
+      const RunLog& aLog,
+      const CheckOptions& aOptions)
+{
+  Findings findings;
+  findings.sends = static_cast<int>(aRecords.size());
+  for (const auto& record : aRecords) {
+    if (record.ending == Ending::kCrossed) {
+      findings.crossed += 1;
+      AddExample(findings, "crossed: " + record.requestId);
+    }
+  }
+  for (const auto& [name, sends] : Group(aRecords)) {
+    const int runs = aLog.RunsOf(name);
+    bool whole = false;
+    for (const auto* record : sends.records) {
+      whole = whole || record->ending == Ending::kWhole;
+    }
+    if (runs > 1) {
+      findings.doubleRuns += 1;
+      AddExample(findings, "ran " + std::to_string(runs) + " times: " + name);
+    }
+    if (HasFalseNotRun(sends, runs)) {
+      findings.falseNotRun += 1;
+      AddExample(findings, "told not-run and ran: " + name);
+    }
+    if (whole && runs == 0 && aOptions.completeLog) {
+      findings.unrunWhole += 1;
+      AddExample(findings, "answered and never ran: " + name);
+    }
+  }
+  findings.tierInversions = CountInversions(aRecords, aOptions.tierWindow);
+  return findings;
+}
+
+} // namespace magnoliatide::load
--- /dev/null
+++ b/src/core/time.cpp
@@ -0,0 +1,38 @@
+// Conversions of time values.
+#include "magnoliatide/core/time.h"
+
+#include <cstdio>
+#include <ctime>
+
+namespace magnoliatide {
+
+double
+ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+Duration
+FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aSeconds));
+}
+
+std::string
+FormatTime(WallClock::time_point aTime)
+{
+  const auto millis =
+    std::chrono::duration_cast<Milliseconds>(aTime.time_since_epoch()).count();
+  const std::time_t seconds = millis / 1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  char day[32];
+  std::strftime(day, sizeof(day), "%Y-%m-%dT%H:%M:%S", &parts);
+  char text[48];
+  std::snprintf(
+    text, sizeof(text), "%s.%03dZ", day, static_cast<int>(millis % 1000));
+  return text;
+}
+
+} // namespace magnoliatide
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,402 @@
+// The HTTP server, on Boost.Beast.
+#include "magnoliatide/http/server.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <optional>
+#include <stdexcept>
+
+namespace magnoliatide::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+Request
+FromBeast(bhttp::request<bhttp::string_body>&& aMessage)
+{
+  Request request;
+  request.method = std::string(aMessage.method_string());
+  request.target = std::string(aMessage.target());
+  for (const auto& field : aMessage) {
+    request.headers.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.body = std::move(aMessage.body());
+  return request;
+}
+
+/// State shared by the server and its connections, which may outlive it.
+struct Shared
+{
+  ServerOptions options;
+  Handler handler;
+  ServerCounters counters;
+  std::atomic<bool> draining{ false };
+};
+
+class Connection
+  : public Exchange
+  , public std::enable_shared_from_this<Connection>
+{
+public:
+  Connection(tcp::socket aSocket, std::shared_ptr<Shared> aShared)
+    : mStream(std::move(aSocket))
+    , mShared(std::move(aShared))
+  {
+    mShared->counters.open.fetch_add(1);
+  }
+
+  ~Connection() override { mShared->counters.open.fetch_sub(1); }
+
+  asio::awaitable<void> Run()
+  {
+    const auto self = shared_from_this();
+    while (co_await ReadRequest()) {
+      co_await Serve();
+      if (!mKeepAlive || mShared->draining.load()) {
+        break;
+      }
+    }
+    ErrorCode ignored;
+    mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
+  const Request& Incoming() const override { return mRequest; }
+
+  asio::awaitable<void> Respond(Response aResponse) override
+  {
+    bhttp::response<bhttp::string_body> message;
+    FillHead(aResponse, message);
+    message.body() = std::move(aResponse.body);
+    message.prepare_payload();
+    mStream.expires_after(mShared->options.writeTimeout);
+    const auto [error, bytes] =
+      co_await bhttp::async_write(mStream, message, kNoThrow);
+    static_cast<void>(bytes);
+    NoteWrite(error);
+  }
+
+  asio::awaitable<bool> BeginStream(Response aHead) override
+  {
+    bhttp::response<bhttp::empty_body> message;
+    FillHead(aHead, message);
+    message.chunked(true);
+    bhttp::response_serializer<bhttp::empty_body> serializer{ message };
+    mStream.expires_after(mShared->options.writeTimeout);
+    const auto [error, bytes] =
+      co_await bhttp::async_write_header(mStream, serializer, kNoThrow);
+    static_cast<void>(bytes);
+    co_return NoteWrite(error);
+  }
+
+  asio::awaitable<bool> WritePart(std::string aPart) override
+  {
+    if (mGone) {
+      co_return false;
+    }
+    mStream.expires_after(mShared->options.writeTimeout);
+    const auto [error, bytes] = co_await asio::async_write(
+      mStream, bhttp::make_chunk(asio::buffer(aPart)), kNoThrow);
+    static_cast<void>(bytes);
+    co_return NoteWrite(error);
+  }
+
+  asio::awaitable<void> EndStream() override
+  {
+    mStream.expires_after(mShared->options.writeTimeout);
+    const auto [error, bytes] =
+      co_await asio::async_write(mStream, bhttp::make_chunk_last(), kNoThrow);
+    static_cast<void>(bytes);
+    NoteWrite(error);
+  }
+
+  void Abort() override
+  {
+    mKeepAlive = false;
+    ErrorCode ignored;
+    mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    mStream.socket().close(ignored);
+  }
+
+  void OnCallerGone(std::function<void()> aFunction) override
+  {
+    mOnGone = std::move(aFunction);
+    if (mGone) {
+      NotifyGone();
+      return;
+    }
+    if (!mWatching) {
+      mWatching = true;
+      Watch();
+    }
+  }
+
+  bool CallerGone() const override { return mGone; }
+
+private:
+  template<typename Message>
+  void FillHead(const Response& aResponse, Message& aMessage)
+  {
+    aMessage.result(static_cast<unsigned>(aResponse.status));
+    aMessage.version(11);
+    for (const auto& header : aResponse.headers) {
+      aMessage.set(header.name, header.value);
+    }
+    mKeepAlive = mKeepAlive && !mShared->draining.load();
+    aMessage.keep_alive(mKeepAlive);
+  }
+
+  bool NoteWrite(const ErrorCode& aError)
+  {
+    if (aError) {
+      mKeepAlive = false;
+      mGone = true;
+      NotifyGone();
+    }
+    return !aError;
+  }
+
+  void NotifyGone()
+  {
+    auto function = std::move(mOnGone);
+    mOnGone = nullptr;
+    if (function) {
+      function();
+    }
+  }
+
+  /// Waits until the socket is readable: an end of file means that the caller
+  /// left; bytes are a pipelined request, which waits its turn.
+  void Watch()
+  {
+    mStream.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this()](const ErrorCode& aError) {
+        self->mWatching = false;
+        if (aError || !self->mServing) {
+          return;
+        }
+        char byte = 0;
+        const auto got = ::recv(self->mStream.socket().native_handle(),
+                                &byte,
+                                1,
+                                MSG_PEEK | MSG_DONTWAIT);
+        if (got == 0 || (got < 0 && errno != EAGAIN)) {
+          self->mGone = true;
+          self->mKeepAlive = false;
+          self->NotifyGone();
+        }
+      });
+  }
+
+  asio::awaitable<bool> ReadRequest()
+  {
+    mParser.emplace();
+    mParser->header_limit(
+      static_cast<std::uint32_t>(mShared->options.maxHeaderBytes));
+    mParser->body_limit(mShared->options.maxBodyBytes);
+    if (mBuffer.size() == 0 && !co_await WaitForBytes()) {
+      co_return false;
+    }
+    mStream.expires_after(mShared->options.headerTimeout);
+    const auto [error, bytes] =
+      co_await bhttp::async_read(mStream, mBuffer, *mParser, kNoThrow);
+    static_cast<void>(bytes);
+    if (error) {
+      co_await RefuseMalformed(error);
+      co_return false;
+    }
+    mKeepAlive = mParser->keep_alive();
+    mRequest = FromBeast(mParser->release());
+    co_return true;
+  }
+
+  /// Waits for the first byte, so that an idle connection and a slow sender
+  /// have bounds of their own.
+  asio::awaitable<bool> WaitForBytes()
+  {
+    mStream.expires_after(mShared->options.idleTimeout);
+    const auto [error, bytes] =
+      co_await mStream.async_read_some(mBuffer.prepare(4096), kNoThrow);
+    mBuffer.commit(bytes);
+    co_return !error;
+  }
+
+  asio::awaitable<void> RefuseMalformed(ErrorCode aError)
+  {
+    mShared->counters.malformed.fetch_add(1);
+    mKeepAlive = false;
+    int status = 400;
+    const char* kind = "malformed-request";
+    const char* remedy = "send a valid HTTP/1.1 request";
+    if (aError == bhttp::error::body_limit) {
+      status = 413;
+      kind = "body-too-large";
+      remedy = "send a smaller body";
+    } else if (aError == bhttp::error::header_limit) {
+      status = 431;
+      kind = "headers-too-large";
+      remedy = "send smaller headers";
+    } else if (aError == beast::error::timeout) {
+      status = 408;
+      kind = "request-too-slow";
+      remedy = "send the whole request without pauses";
+    } else if (aError.category() !=
+               bhttp::make_error_code(bhttp::error::bad_method).category()) {
+      co_return;
+    }
+    Response response =
+      JsonResponse(status,
+                   std::string(R"({"error":{"outcome":"not-run","kind":")") +
+                     kind + R"(","remedy":")" + remedy + "\"}}");
+    response.headers.push_back({ "X-Outcome", "not-run" });
+    co_await Respond(std::move(response));
+  }
+
+  asio::awaitable<void> Serve()
+  {
+    mServing = true;
+    mShared->counters.inProgress.fetch_add(1);
+    mStream.expires_never();
+    co_await mShared->handler(*this);
+    mShared->counters.inProgress.fetch_sub(1);
+    mServing = false;
+    mOnGone = nullptr;
+    if (mWatching && mStream.socket().is_open()) {
+      ErrorCode ignored;
+      mStream.socket().cancel(ignored);
+    }
+  }
+
+  beast::tcp_stream mStream;
+  std::shared_ptr<Shared> mShared;
+  beast::flat_buffer mBuffer;
+  std::optional<bhttp::request_parser<bhttp::string_body>> mParser;
+  Request mRequest;
+  std::function<void()> mOnGone;
+  bool mKeepAlive = true;
+  bool mGone = false;
+  bool mServing = false;
+  /// True while a wait for readability is pending; at most one is.
+  bool mWatching = false;
+};
+
+asio::awaitable<void>
+RunConnection(std::shared_ptr<Connection> aConnection)
+{
+  co_await aConnection->Run();
+}
+
+class AsioServer : public Server
+{
+public:
+  AsioServer(Threads& aThreads, ServerOptions aOptions, Handler aHandler)
+    : mThreads(aThreads)
+    , mShared(std::make_shared<Shared>())
+    , mAcceptor(aThreads.At(0))
+  {
+    mShared->options = std::move(aOptions);
+    mShared->handler = std::move(aHandler);
+    Bind();
+    asio::co_spawn(mThreads.At(0), Accept(), asio::detached);
+  }
+
+  ~AsioServer() override
+  {
+    ErrorCode ignored;
+    mAcceptor.close(ignored);
+  }
+
+  void Drain() override
+  {
+    mShared->draining.store(true);
+    asio::post(mThreads.At(0), [this] {
+      ErrorCode ignored;
+      mAcceptor.close(ignored);
+    });
+  }
+
+  const ServerCounters& Counters() const override { return mShared->counters; }
+
+private:
+  void Bind()
+  {
+    const auto& address = mShared->options.address;
+    try {
+      const tcp::endpoint endpoint(asio::ip::make_address(address.host),
+                                   address.port);
+      mAcceptor.open(endpoint.protocol());
+      mAcceptor.set_option(tcp::acceptor::reuse_address(true));
+      mAcceptor.bind(endpoint);
+      mAcceptor.listen(4096);
+    } catch (const boost::system::system_error& error) {
+      throw std::runtime_error("cannot listen on " + document::Format(address) +
+                               ": " + error.code().message() +
+                               "; free the address or change the settings");
+    }
+  }
+
+  asio::awaitable<void> Accept()
+  {
+    while (mAcceptor.is_open()) {
+      auto [error, socket] = co_await mAcceptor.async_accept(
+        mThreads.Next().get_executor(), kNoThrow);
+      if (error == asio::error::operation_aborted) {
+        break;
+      }
+      if (error) {
+        co_await PauseAfterError();
+        continue;
+      }
+      Start(std::move(socket));
+    }
+  }
+
+  /// Waits a moment, as errors such as a lack of descriptors last a while.
+  asio::awaitable<void> PauseAfterError()
+  {
+    asio::steady_timer timer(mThreads.At(0), Milliseconds(20));
+    co_await timer.async_wait(kNoThrow);
+  }
+
+  void Start(tcp::socket aSocket)
+  {
+    auto& counters = mShared->counters;
+    if (counters.open.load() >= mShared->options.maxConnections) {
+      counters.refusedConnections.fetch_add(1);
+      return;
+    }
+    counters.accepted.fetch_add(1);
+    ErrorCode ignored;
+    aSocket.set_option(tcp::no_delay(true), ignored);
+    const auto executor = aSocket.get_executor();
+    auto connection = std::make_shared<Connection>(std::move(aSocket), mShared);
+    asio::co_spawn(executor, RunConnection(connection), asio::detached);
+  }
+
+  Threads& mThreads;
+  std::shared_ptr<Shared> mShared;
+  tcp::acceptor mAcceptor;
+};
+
+} // namespace
+
+std::unique_ptr<Server>
+StartServer(Threads& aThreads, ServerOptions aOptions, Handler aHandler)
+{
+  return std::make_unique<AsioServer>(
+    aThreads, std::move(aOptions), std::move(aHandler));
+}
+
+} // namespace magnoliatide::http
--- /dev/null
+++ b/src/platform/reader.cpp
@@ -0,0 +1,138 @@
+// Long-polled reads over HTTP.
+#include "magnoliatide/platform/reader.h"
+
+#include "magnoliatide/http/client.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace magnoliatide::platform {
+
+namespace {
+
+namespace json = boost::json;
+
+/// Time that the platform may take beyond the wait that was asked for.
+constexpr Duration kAnswerBound = Seconds(2);
+
+std::uint64_t
+IndexOf(const http::Response& aResponse)
+{
+  const auto text = http::Find(aResponse.headers, "X-Index");
+  std::uint64_t index = 0;
+  std::from_chars(text.data(), text.data() + text.size(), index);
+  return index;
+}
+
+boost::asio::awaitable<http::CallResult>
+Get(ReaderOptions aOptions,
+    std::string aPath,
+    std::uint64_t aIndex,
+    Duration aWait)
+{
+  const auto millis = std::chrono::duration_cast<Milliseconds>(aWait).count();
+  http::Request request;
+  request.target = aPath + "?index=" + std::to_string(aIndex) +
+                   "&wait=" + std::to_string(millis);
+  co_return co_await http::Call(aOptions.platform,
+                                std::move(request),
+                                aWait + kAnswerBound,
+                                aOptions.localHost);
+}
+
+ReadStatus
+StatusOf(const http::CallResult& aResult)
+{
+  if (aResult.status != http::CallStatus::kDone) {
+    return ReadStatus::kFailed;
+  }
+  if (aResult.response.status == 304) {
+    return ReadStatus::kUnchanged;
+  }
+  return aResult.response.status == 200 ? ReadStatus::kValue
+                                        : ReadStatus::kFailed;
+}
+
+std::string
+TextOf(const json::object& aObject, const char* aName)
+{
+  const auto* value = aObject.if_contains(aName);
+  const auto* text = value ? value->if_string() : nullptr;
+  return text ? std::string(*text) : std::string();
+}
+
+void
+AddVm(const json::object& aEntry, VmList& aList)
+{
+  ListedVm vm;
+  vm.slot = TextOf(aEntry, "slot");
+  vm.leaving = TextOf(aEntry, "state") == "leaving";
+  if (document::ParseEndpoint(TextOf(aEntry, "peer"), vm.peer)) {
+    aList.vms.push_back(std::move(vm));
+  }
+}
+
+void
+AddBackend(const json::object& aEntry, VmList& aList)
+{
+  aList.backends.push_back(
+    { TextOf(aEntry, "name"), TextOf(aEntry, "state") == "leaving" });
+}
+
+bool
+ParseVmList(const std::string& aText, VmList& aList)
+{
+  boost::system::error_code error;
+  const json::value value = json::parse(aText, error);
+  const auto* object = error ? nullptr : value.if_object();
+  if (object == nullptr) {
+    return false;
+  }
+  const auto each = [&](const char* aName, auto aAdd) {
+    const auto* entry = object->if_contains(aName);
+    const auto* array = entry ? entry->if_array() : nullptr;
+    if (array == nullptr) {
+      return;
+    }
+    for (const auto& item : *array) {
+      if (item.is_object()) {
+        aAdd(item.get_object(), aList);
+      }
+    }
+  };
+  each("vms", AddVm);
+  each("backends", AddBackend);
+  return true;
+}
+
+} // namespace
+
+boost::asio::awaitable<ConfigValue>
+ReadConfig(ReaderOptions aOptions, std::uint64_t aIndex, Duration aWait)
+{
+  const std::string path = "/v1/config/" + aOptions.environment;
+  auto result = co_await Get(std::move(aOptions), path, aIndex, aWait);
+  ConfigValue value;
+  value.status = StatusOf(result);
+  value.index = IndexOf(result.response);
+  value.text = std::move(result.response.body);
+  co_return value;
+}
+
+boost::asio::awaitable<VmList>
+ReadVmList(ReaderOptions aOptions, std::uint64_t aIndex, Duration aWait)
+{
+  const auto result =
+    co_await Get(std::move(aOptions), "/v1/vms", aIndex, aWait);
+  VmList list;
+  list.status = StatusOf(result);
+  list.index = IndexOf(result.response);
+  if (list.status == ReadStatus::kValue &&
+      !ParseVmList(result.response.body, list)) {
+    list.status = ReadStatus::kFailed;
+  }
+  co_return list;
+}
+
+} // namespace magnoliatide::platform
--- /dev/null
+++ b/src/policy/wait_queue.cpp
@@ -0,0 +1,192 @@
+// The bounded queue of one service.
+#include "magnoliatide/policy/wait_queue.h"
+
+#include <algorithm>
+
+namespace magnoliatide::policy {
+
+namespace {
+
+/// Weight of a kind that has no guaranteed share.
+constexpr double kUnsharedWeight = 0.05;
+
+} // namespace
+
+void
+WaitQueue::Push(const Work& aWork)
+{
+  const double cost = CostOf(aWork.size);
+  auto& tier = mTiers[aWork.tier];
+  auto& kind = tier.kinds[aWork.kind];
+  auto& team = kind.teams[aWork.team];
+  kind.weight = std::max(aWork.kindShare, kUnsharedWeight);
+  team.weight = aWork.teamWeight;
+  team.ids.push_back(aWork.id);
+  team.cost += cost;
+  tier.count += 1;
+  tier.cost += cost;
+  kind.order.Activate(aWork.team);
+  tier.order.Activate(aWork.kind);
+  mDeadlines.insert({ aWork.deadline, aWork.id });
+  mItems[aWork.id] = { aWork, cost };
+}
+
+std::optional<Work>
+WaitQueue::Pop(const std::function<bool(const Work&)>& aFits)
+{
+  for (auto& [number, tier] : mTiers) {
+    if (tier.count == 0) {
+      continue;
+    }
+    auto work = PopFromTier(tier, aFits);
+    if (work) {
+      return work;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Work>
+WaitQueue::PopFromTier(TierLine& aTier,
+                       const std::function<bool(const Work&)>& aFits)
+{
+  RequestId chosen = 0;
+  const bool found = aTier.order.Visit([&](const std::string& aKind) {
+    const auto& kind = aTier.kinds.at(aKind);
+    return kind.order.Visit([&](const std::string& aTeam) {
+      const RequestId front = kind.teams.at(aTeam).ids.front();
+      const bool fits = aFits(mItems.at(front).work);
+      chosen = fits ? front : chosen;
+      return fits;
+    });
+  });
+  if (!found) {
+    return std::nullopt;
+  }
+  return Take(chosen, true);
+}
+
+Work
+WaitQueue::Take(RequestId aId, bool aCharge)
+{
+  const auto node = mItems.extract(aId);
+  const Work& work = node.mapped().work;
+  const double cost = node.mapped().cost;
+  auto& tier = mTiers.at(work.tier);
+  auto& kind = tier.kinds.at(work.kind);
+  auto& team = kind.teams.at(work.team);
+  if (aCharge) {
+    kind.order.Charge(work.team, cost, team.weight);
+    tier.order.Charge(work.kind, cost, kind.weight);
+  }
+  team.ids.erase(std::find(team.ids.begin(), team.ids.end(), aId));
+  team.cost -= cost;
+  tier.count -= 1;
+  tier.cost = tier.count == 0 ? 0 : tier.cost - cost;
+  mDeadlines.erase({ work.deadline, aId });
+  if (team.ids.empty()) {
+    kind.order.Deactivate(work.team);
+    kind.teams.erase(work.team);
+  }
+  if (kind.teams.empty()) {
+    tier.order.Deactivate(work.kind);
+  }
+  return work;
+}
+
+std::optional<Work>
+WaitQueue::Remove(RequestId aId)
+{
+  if (mItems.count(aId) == 0) {
+    return std::nullopt;
+  }
+  return Take(aId, false);
+}
+
+const Work*
+WaitQueue::Victim(const Work& aArriving) const
+{
+  const int lowest = LowestTier();
+  if (lowest < aArriving.tier) {
+    return nullptr;
+  }
+  const auto& tier = mTiers.at(lowest);
+  const TeamLine* worst = nullptr;
+  double arrivingBacklog = 0;
+  double worstBacklog = 0;
+  std::map<std::string, double> backlogs;
+  for (const auto& [kindName, kind] : tier.kinds) {
+    for (const auto& [teamName, team] : kind.teams) {
+      const double backlog = (backlogs[teamName] += team.cost / team.weight);
+      if (worst == nullptr || backlog > worstBacklog) {
+        worst = &team;
+        worstBacklog = backlog;
+      }
+    }
+  }
+  const auto own = backlogs.find(aArriving.team);
+  arrivingBacklog = own == backlogs.end() ? 0 : own->second;
+  arrivingBacklog += CostOf(aArriving.size) / aArriving.teamWeight;
+  if (worst == nullptr ||
+      (lowest == aArriving.tier && worstBacklog <= arrivingBacklog)) {
+    return nullptr;
+  }
+  return &mItems.at(worst->ids.back()).work;
+}
+
+std::vector<RequestId>
+WaitQueue::Below(int aTier) const
+{
+  std::vector<RequestId> ids;
+  for (auto at = mTiers.upper_bound(aTier); at != mTiers.end(); ++at) {
+    for (const auto& [kindName, kind] : at->second.kinds) {
+      for (const auto& [teamName, team] : kind.teams) {
+        ids.insert(ids.end(), team.ids.begin(), team.ids.end());
+      }
+    }
+  }
+  return ids;
+}
+
+std::vector<RequestId>
+WaitQueue::Expired(TimePoint aNow) const
+{
+  std::vector<RequestId> ids;
+  for (const auto& [deadline, id] : mDeadlines) {
+    if (deadline > aNow) {
+      break;
+    }
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+std::size_t
+WaitQueue::CountOf(int aTier) const
+{
+  const auto found = mTiers.find(aTier);
+  return found == mTiers.end() ? 0 : found->second.count;
+}
+
+double
+WaitQueue::CostAhead(int aTier) const
+{
+  double cost = 0;
+  for (const auto& [number, tier] : mTiers) {
+    cost += number <= aTier ? tier.cost : 0;
+  }
+  return cost;
+}
+
+int
+WaitQueue::LowestTier() const
+{
+  for (auto at = mTiers.rbegin(); at != mTiers.rend(); ++at) {
+    if (at->second.count > 0) {
+      return at->first;
+    }
+  }
+  return -1;
+}
+
+} // namespace magnoliatide::policy
--- /dev/null
+++ b/standins/engine.cpp
@@ -0,0 +1,377 @@
+// The model engine stand-in.
+#include "standin.h"
+
+#include "magnoliatide/core/digest.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <unordered_set>
+
+namespace magnoliatide::standins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr double kBytesPerToken = 4;
+constexpr std::size_t kBlockBytes = 256;
+constexpr double kTokensPerBlock = 64;
+constexpr Duration kSilence = std::chrono::minutes(10);
+
+/// Faults that the control path sets.
+struct Faults
+{
+  double slow = 1;        ///< Factor on every time.
+  bool silent = false;    ///< Answers nothing at all.
+  int silentAnswers = 0;  ///< So many answers stop half way and stay open.
+  int cutAnswers = 0;     ///< So many answers are cut half way.
+  int crossAnswers = 0;   ///< So many answers carry another request's id.
+  bool leaving = false;   ///< Announced in each answer.
+  bool unhealthy = false; ///< GET /health fails.
+  std::string crashOn;    ///< A prompt that holds this ends the process.
+};
+
+struct Prompt
+{
+  std::string text;
+  double tokens = 1;
+  int output = 16;
+  bool stream = false;
+};
+
+std::string
+PromptText(const json::object& aBody)
+{
+  if (const auto* prompt = aBody.if_contains("prompt")) {
+    return prompt->is_string() ? std::string(prompt->get_string()) : "";
+  }
+  std::string text;
+  const auto* messages = aBody.if_contains("messages");
+  if (messages == nullptr || !messages->is_array()) {
+    return text;
+  }
+  for (const auto& message : messages->get_array()) {
+    const auto* object = message.if_object();
+    const auto* content = object ? object->if_contains("content") : nullptr;
+    if (content != nullptr && content->is_string()) {
+      text += std::string(content->get_string()) + "\n";
+    }
+  }
+  return text;
+}
+
+Prompt
+ParsePrompt(const std::string& aBody)
+{
+  Prompt prompt;
+  boost::system::error_code error;
+  const auto value = json::parse(aBody, error);
+  if (error || !value.is_object()) {
+    return prompt;
+  }
+  const auto& body = value.get_object();
+  prompt.text = PromptText(body);
+  prompt.tokens =
+    std::max(1.0, static_cast<double>(prompt.text.size()) / kBytesPerToken);
+  if (const auto* most = body.if_contains("max_tokens")) {
+    prompt.output = static_cast<int>(most->to_number<std::int64_t>());
+  }
+  if (const auto* stream = body.if_contains("stream")) {
+    prompt.stream = stream->is_bool() && stream->get_bool();
+  }
+  return prompt;
+}
+
+class Engine : public Service
+{
+public:
+  explicit Engine(const EngineOptions& aOptions)
+    : mOptions(aOptions)
+  {
+  }
+
+  asio::awaitable<void> Handle(http::Exchange& aExchange) override
+  {
+    const auto path = std::string(http::PathOf(aExchange.Incoming()));
+    if (path == "/control/faults") {
+      SetFaults(aExchange.Incoming());
+      co_await aExchange.Respond(http::TextResponse(200, "set\n"));
+    } else if (path == "/control/runs") {
+      co_await aExchange.Respond(http::JsonResponse(200, RunsJson()));
+    } else if (path == "/control/orders") {
+      co_await TakeOrder(aExchange);
+    } else if (path == "/health") {
+      co_await ServeHealth(aExchange);
+    } else {
+      co_await Generate(aExchange);
+    }
+  }
+
+private:
+  asio::awaitable<void> ServeHealth(http::Exchange& aExchange)
+  {
+    if (mFaults.silent) {
+      co_await Pause(kSilence);
+    }
+    co_await aExchange.Respond(
+      http::TextResponse(mFaults.unhealthy ? 503 : 200, "health\n"));
+  }
+
+  asio::awaitable<void> Generate(http::Exchange& aExchange)
+  {
+    const auto request = aExchange.Incoming();
+    const std::string id(http::Find(request.headers, "X-Request-Id"));
+    const Prompt prompt = ParsePrompt(request.body);
+    mRuns[id] += 1;
+    if (!mFaults.crashOn.empty() &&
+        prompt.text.find(mFaults.crashOn) != std::string::npos) {
+      std::_Exit(134);
+    }
+    if (mFaults.silent) {
+      co_await Pause(kSilence);
+      co_return;
+    }
+    co_await EnterBatch();
+    co_await Prefill(prompt);
+    if (!aExchange.CallerGone()) {
+      co_await Answer(aExchange, id, prompt);
+    }
+    mActive -= 1;
+  }
+
+  /// Admits in order of arrival, whatever the request.
+  asio::awaitable<void> EnterBatch()
+  {
+    const auto ticket = mNextTicket++;
+    mWaiting.push_back(ticket);
+    while (mActive >= mOptions.batch || mWaiting.front() != ticket) {
+      co_await Pause(Milliseconds(1));
+    }
+    mWaiting.pop_front();
+    mActive += 1;
+  }
+
+  asio::awaitable<void> Prefill(const Prompt& aPrompt)
+  {
+    const double tokens = std::max(1.0, aPrompt.tokens - TakeHits(aPrompt));
+    mPrefilled += tokens;
+    const auto now = Clock::now();
+    const auto begin = std::max(now, mPrefillFree);
+    mPrefillFree =
+      begin + FromSeconds(tokens / mOptions.prefillRate * mFaults.slow);
+    co_await Pause(mPrefillFree - now);
+  }
+
+  double TakeHits(const Prompt& aPrompt)
+  {
+    double hits = 0;
+    bool matching = true;
+    std::uint64_t running = 0;
+    for (std::size_t i = 0; i < aPrompt.text.size() / kBlockBytes; ++i) {
+      running = Hash64(
+        std::string_view(aPrompt.text).substr(i * kBlockBytes, kBlockBytes),
+        running + 1);
+      const bool fresh = mCached.insert(running).second;
+      matching = matching && !fresh;
+      hits += matching ? kTokensPerBlock : 0;
+      if (fresh) {
+        mCacheOrder.push_back(running);
+      }
+    }
+    while (mCacheOrder.size() > mOptions.prefixBlocks) {
+      mCached.erase(mCacheOrder.front());
+      mCacheOrder.pop_front();
+    }
+    return hits;
+  }
+
+  Duration TokenTime() const
+  {
+    const double load =
+      static_cast<double>(mActive) / std::max(1, mOptions.batch);
+    return FromSeconds(ToSeconds(mOptions.tokenTime) *
+                       (1 + mOptions.crowding * load) * mFaults.slow);
+  }
+
+  http::Response Head(const std::string& aId, const char* aType)
+  {
+    http::Response head;
+    std::string id = aId;
+    if (mFaults.crossAnswers > 0) {
+      mFaults.crossAnswers -= 1;
+      id = "other-" + aId;
+    }
+    head.headers = { { "Content-Type", aType },
+                     { "X-Request-Id", id },
+                     { "X-Engine", mOptions.name } };
+    if (mFaults.leaving) {
+      head.headers.push_back({ "X-Backend-State", "leaving" });
+    }
+    return head;
+  }
+
+  /// Every answer names its request, so that a caller can tell whose it is.
+  std::string Marker(const Prompt& aPrompt) const
+  {
+    return ToHex(Hash64(aPrompt.text));
+  }
+
+  asio::awaitable<void> Answer(http::Exchange& aExchange,
+                               std::string aId,
+                               const Prompt& aPrompt)
+  {
+    const auto head =
+      Head(aId, aPrompt.stream ? "text/event-stream" : "application/json");
+    if (aPrompt.stream) {
+      co_await AnswerStream(aExchange, head, aPrompt);
+    } else {
+      co_await AnswerWhole(aExchange, head, aPrompt);
+    }
+  }
+
+  asio::awaitable<void> AnswerWhole(http::Exchange& aExchange,
+                                    http::Response aHead,
+                                    const Prompt& aPrompt)
+  {
+    for (int i = 0; i < aPrompt.output; i += mOptions.tokensPerWrite) {
+      if (aExchange.CallerGone()) {
+        co_return;
+      }
+      co_await Pause(TokenTime() * mOptions.tokensPerWrite);
+      if (co_await HalfWayFault(aExchange, i, aPrompt)) {
+        co_return;
+      }
+    }
+    aHead.body = R"({"marker":")" + Marker(aPrompt) + R"(","usage":{)" +
+                 R"("completion_tokens":)" + std::to_string(aPrompt.output) +
+                 R"(},"choices":[{"message":{"content":")" +
+                 std::string(static_cast<std::size_t>(aPrompt.output), 'x') +
+                 R"("},"finish_reason":"stop"}]})";
+    co_await aExchange.Respond(std::move(aHead));
+  }
+
+  asio::awaitable<void> AnswerStream(http::Exchange& aExchange,
+                                     http::Response aHead,
+                                     const Prompt& aPrompt)
+  {
+    bool open = co_await aExchange.BeginStream(std::move(aHead));
+    for (int i = 0; open && i < aPrompt.output; i += mOptions.tokensPerWrite) {
+      const int count = std::min(mOptions.tokensPerWrite, aPrompt.output - i);
+      std::string part;
+      for (int k = 0; k < count; ++k) {
+        part += R"(data: {"marker":")" + Marker(aPrompt) + R"(","index":)" +
+                std::to_string(i + k) + "}\n\n";
+      }
+      open = co_await aExchange.WritePart(std::move(part));
+      co_await Pause(TokenTime() * count);
+      if (co_await HalfWayFault(aExchange, i, aPrompt)) {
+        co_return;
+      }
+    }
+    if (open) {
+      open = co_await aExchange.WritePart("data: [DONE]\n\n");
+    }
+    if (open) {
+      co_await aExchange.EndStream();
+    }
+  }
+
+  asio::awaitable<bool> HalfWayFault(http::Exchange& aExchange,
+                                     int aToken,
+                                     const Prompt& aPrompt)
+  {
+    const bool half = aToken >= aPrompt.output / 2;
+    if (half && mFaults.cutAnswers > 0) {
+      mFaults.cutAnswers -= 1;
+      aExchange.Abort();
+      co_return true;
+    }
+    if (half && mFaults.silentAnswers > 0) {
+      mFaults.silentAnswers -= 1;
+      co_await Pause(kSilence);
+      co_return true;
+    }
+    co_return false;
+  }
+
+  /// Orders to load a model, an adapter or a version, or to change role.
+  asio::awaitable<void> TakeOrder(http::Exchange& aExchange)
+  {
+    const auto& request = aExchange.Incoming();
+    if (request.method == "GET") {
+      co_await aExchange.Respond(http::JsonResponse(
+        200,
+        R"({"generation":)" + std::to_string(mOrderGeneration) +
+          R"(,"order":")" + mOrder + R"(","applied":)" +
+          std::to_string(mOrdersApplied) + "}"));
+      co_return;
+    }
+    const auto number =
+      static_cast<std::uint64_t>(NumberOf(request, "fencing", 0));
+    if (mOptions.checksFencing && number < mOrderGeneration) {
+      co_await aExchange.Respond(http::TextResponse(409, "old fencing\n"));
+      co_return;
+    }
+    mOrderGeneration = number;
+    mOrder = http::QueryOf(request, "order");
+    mOrdersApplied += 1;
+    co_await aExchange.Respond(http::TextResponse(200, "taken\n"));
+  }
+
+  void SetFaults(const http::Request& aRequest)
+  {
+    mFaults.slow = NumberOf(aRequest, "slow", mFaults.slow);
+    mFaults.silent = NumberOf(aRequest, "silent", mFaults.silent) != 0;
+    mFaults.leaving = NumberOf(aRequest, "leaving", mFaults.leaving) != 0;
+    mFaults.unhealthy = NumberOf(aRequest, "unhealthy", mFaults.unhealthy) != 0;
+    mFaults.silentAnswers = static_cast<int>(
+      NumberOf(aRequest, "silent-answers", mFaults.silentAnswers));
+    mFaults.cutAnswers =
+      static_cast<int>(NumberOf(aRequest, "cut", mFaults.cutAnswers));
+    mFaults.crossAnswers =
+      static_cast<int>(NumberOf(aRequest, "cross", mFaults.crossAnswers));
+    const auto crash = http::QueryOf(aRequest, "crash-on");
+    mFaults.crashOn = crash.empty() ? mFaults.crashOn : crash;
+  }
+
+  std::string RunsJson() const
+  {
+    json::object runs;
+    for (const auto& [id, count] : mRuns) {
+      runs[id] = count;
+    }
+    json::object body;
+    body["runs"] = std::move(runs);
+    body["prefilled"] = mPrefilled;
+    return json::serialize(body);
+  }
+
+  EngineOptions mOptions;
+  Faults mFaults;
+  std::map<std::string, int> mRuns;
+  std::deque<std::uint64_t> mWaiting;
+  std::uint64_t mNextTicket = 0;
+  int mActive = 0;
+  TimePoint mPrefillFree{};
+  double mPrefilled = 0;
+  std::unordered_set<std::uint64_t> mCached;
+  std::deque<std::uint64_t> mCacheOrder;
+  std::uint64_t mOrderGeneration = 0;
+  std::string mOrder;
+  int mOrdersApplied = 0;
+};
+
+} // namespace
+
+std::unique_ptr<Service>
+MakeEngine(const EngineOptions& aOptions)
+{
+  return std::make_unique<Engine>(aOptions);
+}
+
+} // namespace magnoliatide::standins
