Let the VMs act together: membership, configuration, claims, slots

Change: probing with suspicion and incarnations over signed datagrams; documents that spread from peer to peer and never revert; claims of keys by two-phase votes of electors that abstain after a start until they copied the registers of others; leases of engine slots from an owner VM per service and zone.

--- a/include/magnoliatide/document/document.h
+++ b/include/magnoliatide/document/document.h
@@ -122,6 +122,9 @@
   std::vector<Service> services;
   std::vector<BackendServer> backends;
   std::vector<std::string> slots; ///< Names of VM slots, as "zone/name".
+  /// Whether the operators state that no VM of the environment ran before, so
+  /// that no earlier key can have been taken.
+  bool firstStart = false;
   Limits limits;
 
   /// Token digest to index in teams.
--- a/include/magnoliatide/entry/gateway.h
+++ b/include/magnoliatide/entry/gateway.h
@@ -30,6 +30,8 @@
   std::function<void(const std::vector<policy::SuspectEntry>&)> onSuspects;
   /// Called when a backend server is seen to crash.
   std::function<void(const std::string&)> onCrash;
+  /// Returns whether the VM may serve; empty for always.
+  std::function<bool()> ready;
   std::string idPrefix; ///< Makes request ids unique over VMs and restarts.
 };
 
--- /dev/null
+++ b/include/magnoliatide/wire/messages.h
@@ -0,0 +1,357 @@
+// The messages between VMs. Plain values; how they are used is told by the
+// packages membership, claims and slots.
+#ifndef MAGNOLIATIDE_WIRE_MESSAGES_H
+#define MAGNOLIATIDE_WIRE_MESSAGES_H
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace magnoliatide::wire {
+
+enum class MemberState : std::uint8_t
+{
+  kAlive,
+  kSuspect,
+  kDead,
+  kLeft, ///< Ended by a planned stop.
+};
+
+/// What is known of the VM in one slot.
+struct MemberRecord
+{
+  std::string slot;    ///< "zone/name".
+  std::string address; ///< "IP:PORT" for UDP and TCP.
+  std::uint64_t process = 0;     ///< Random identity of the process.
+  std::uint64_t incarnation = 0; ///< Raised by the process itself only.
+  MemberState state = MemberState::kAlive;
+};
+
+/// The document that a VM has in force.
+struct DocumentHead
+{
+  std::uint64_t generation = 0;
+  std::string digest; ///< First 16 hexadecimal digits.
+};
+
+/// Sent in front of every message.
+struct Header
+{
+  std::uint64_t environment = 0; ///< Hash of the environment's name.
+  std::uint64_t sequence = 0;    ///< Rises with each message of a process.
+  MemberRecord sender;
+  DocumentHead head;
+};
+
+enum class RumourKind : std::uint8_t
+{
+  kBackendState, ///< Key "name@address"; value "leaving" or "serving".
+  kSuspect,      ///< Key: a fingerprint; value: a level of suspicion.
+};
+
+/// A fact that spreads to all VMs. The higher version stands; of equal
+/// versions the greater value.
+struct Rumour
+{
+  RumourKind kind = RumourKind::kBackendState;
+  std::string key;
+  std::uint64_t version = 0;
+  std::string value;
+};
+
+/// What rides on probes and their answers.
+struct Gossip
+{
+  std::vector<MemberRecord> members;
+  std::vector<Rumour> rumours;
+  std::uint64_t rumourDigest = 0; ///< Over all rumours that the sender holds.
+};
+
+struct Probe
+{
+  std::uint64_t number = 0;
+  Gossip gossip;
+};
+
+struct ProbeAck
+{
+  std::uint64_t number = 0;
+  Gossip gossip;
+};
+
+/// Asks the receiver to probe another VM.
+struct ProbeRequest
+{
+  std::uint64_t number = 0;
+  std::string targetSlot;
+  std::string targetAddress;
+};
+
+/// Which life of a slot's process speaks. Ordered by number, then process.
+struct Incarnation
+{
+  std::uint64_t number = 0;
+  std::uint64_t process = 0;
+
+  auto operator<=>(const Incarnation&) const = default;
+};
+
+struct SlotIncarnation
+{
+  std::string slot;
+  Incarnation incarnation;
+};
+
+struct Ballot
+{
+  std::uint32_t round = 0;
+  std::uint64_t proposer = 0;
+
+  auto operator<=>(const Ballot&) const = default;
+};
+
+/// The one send of a key that may run.
+struct Owner
+{
+  std::string slot;
+  std::uint64_t process = 0;
+  std::uint64_t attempt = 0;
+  std::uint64_t fingerprint = 0;
+
+  bool operator==(const Owner&) const = default;
+};
+
+/// What became of the call of a key.
+enum class KeyOutcome : std::uint8_t
+{
+  kOpen,     ///< Not known to have ended.
+  kNotRun,   ///< Its owner will never send it.
+  kAnswered, ///< Its owner has the answer.
+  kUnknown,  ///< It was sent; the answer was lost.
+};
+
+/// The answer of a call, as far as it is short. Status 0: none.
+struct KeyAnswer
+{
+  std::int32_t status = 0;
+  std::string contentType;
+  std::string body;
+};
+
+/// The first phase of a claim.
+struct ClaimPrepare
+{
+  std::uint64_t proposal = 0;
+  std::string key;
+  std::uint32_t epoch = 0; ///< Counts the owners that never sent the call.
+  std::uint64_t electorate = 0; ///< Hash of the electorate meant.
+  Ballot ballot;
+};
+
+/// The second phase of a claim.
+struct ClaimAccept
+{
+  std::uint64_t proposal = 0;
+  std::string key;
+  std::uint32_t epoch = 0;
+  std::uint64_t electorate = 0;
+  Ballot ballot;
+  Owner owner;
+};
+
+enum class Vote : std::uint8_t
+{
+  kYes,
+  kNo,      ///< A higher ballot was promised.
+  kAbstain, ///< Not ready, or a different electorate.
+};
+
+/// The answer to both phases.
+struct ClaimVote
+{
+  std::uint64_t proposal = 0;
+  bool accepting = false; ///< Answers the second phase.
+  Ballot ballot;          ///< Of the request.
+  Vote vote = Vote::kAbstain;
+  Ballot promised;
+  bool hasAccepted = false;
+  Ballot acceptedBallot;
+  Owner accepted;
+  KeyOutcome outcome = KeyOutcome::kOpen;
+  KeyAnswer answer;
+  std::string slot;        ///< The elector.
+  Incarnation incarnation; ///< Of the elector.
+  std::vector<SlotIncarnation> known; ///< Lives of the other electors.
+};
+
+/// Tells electors what became of a key.
+struct ClaimOutcome
+{
+  std::string key;
+  std::uint32_t epoch = 0;
+  Owner owner;
+  KeyOutcome outcome = KeyOutcome::kOpen;
+  KeyAnswer answer;
+};
+
+/// Load of one backend server by one VM.
+struct SlotUse
+{
+  std::string backend;
+  std::uint16_t inFlight = 0;
+  std::uint16_t finished = 0;
+  std::uint16_t late = 0;
+  std::uint16_t limit = 0; ///< Last limit that the VM was told; 0 for none.
+};
+
+/// A VM's demand on the backend servers of one service and zone.
+struct SlotDemand
+{
+  std::string service;
+  std::string zone;
+  std::vector<std::uint16_t> waitingByTier;
+  std::int8_t shedTier = -1; ///< Highest tier shed lately, or -1.
+  std::vector<SlotUse> uses;
+};
+
+struct SlotGrant
+{
+  std::string backend;
+  std::uint16_t slots = 0;
+  std::uint16_t limit = 0;
+};
+
+/// The owner's answer to a demand.
+struct SlotGrants
+{
+  std::string service;
+  std::string zone;
+  std::uint32_t leaseMillis = 0;
+  std::int8_t shedTier = -1; ///< Highest tier shed lately in the fleet.
+  std::vector<SlotGrant> grants;
+};
+
+/// Sent by UDP.
+using DatagramBody = std::variant<Probe,
+                                  ProbeAck,
+                                  ProbeRequest,
+                                  ClaimPrepare,
+                                  ClaimAccept,
+                                  ClaimVote,
+                                  ClaimOutcome,
+                                  SlotDemand,
+                                  SlotGrants>;
+
+struct DocumentRequest
+{
+};
+
+struct DocumentReply
+{
+  std::string text;
+};
+
+/// Exchanges all members and rumours.
+struct SyncRequest
+{
+  Gossip gossip;
+};
+
+struct SyncReply
+{
+  Gossip gossip;
+};
+
+/// Asks an elector for a copy of its register, for a slot that starts with
+/// nothing. The asked one notes the incarnation before it copies.
+struct CopyRequest
+{
+  std::string slot;
+  Incarnation incarnation;
+  std::string after; ///< Copy keys greater than this one.
+};
+
+struct CopiedEpoch
+{
+  std::uint32_t epoch = 0;
+  Ballot promised;
+  bool hasAccepted = false;
+  Ballot acceptedBallot;
+  Owner accepted;
+  KeyOutcome outcome = KeyOutcome::kOpen;
+  KeyAnswer answer;
+};
+
+struct CopiedKey
+{
+  std::string key;
+  std::uint32_t ageMillis = 0; ///< Since the key was first seen.
+  std::vector<CopiedEpoch> epochs;
+};
+
+struct CopyReply
+{
+  bool refused = false;      ///< The incarnation is not the latest.
+  Incarnation latest;        ///< Of the asking slot, as known.
+  bool incomplete = false;   ///< The asked one is itself still copying.
+  bool remembers = false;    ///< It never lost what it accepted itself.
+  std::uint64_t slotsHash = 0; ///< Of all slots in the asked one's document.
+  std::vector<CopiedKey> keys;
+  bool more = false; ///< Ask again after the last key.
+  std::vector<SlotIncarnation> known;
+};
+
+/// Asks the owner of a key what became of its attempt.
+struct OutcomeRequest
+{
+  std::uint64_t process = 0;
+  std::uint64_t attempt = 0;
+};
+
+struct OutcomeReply
+{
+  bool known = false; ///< False if the process is not the one asked for.
+  KeyOutcome outcome = KeyOutcome::kOpen;
+  KeyAnswer answer;
+};
+
+/// One record of an audit trail.
+struct AuditLine
+{
+  std::uint64_t number = 0;
+  std::string observer;
+  std::string time;
+  std::string subject;
+  std::string from;
+  std::string to;
+  std::string cause;
+  std::string digest;
+};
+
+/// Asks for the records that a VM wrote or holds for others.
+struct AuditRequest
+{
+  std::uint64_t after = 0;
+};
+
+struct AuditReply
+{
+  std::vector<AuditLine> lines;
+};
+
+/// Sent by TCP.
+using FrameBody = std::variant<DocumentRequest,
+                               DocumentReply,
+                               SyncRequest,
+                               SyncReply,
+                               CopyRequest,
+                               CopyReply,
+                               OutcomeRequest,
+                               OutcomeReply,
+                               AuditRequest,
+                               AuditReply>;
+
+} // namespace magnoliatide::wire
+
+#endif
--- a/load/fleet.cpp
+++ b/load/fleet.cpp
@@ -191,7 +191,8 @@
   for (std::size_t i = 0; i < mVms.size(); ++i) {
     text += (i == 0 ? "" : ", ") + mVms[i].name;
   }
-  return text + "\n" + mOptions.base + "\n" + BackendSections() + aExtra;
+  return text + "\nfirst-start = yes\n" + mOptions.base + "\n" +
+         BackendSections() + aExtra;
 }
 
 void
--- a/src/document/document.cpp
+++ b/src/document/document.cpp
@@ -28,6 +28,7 @@
 struct VmKeys
 {
   std::vector<std::string> slots;
+  bool firstStart = false;
 };
 
 const Field<EnvironmentKeys> kEnvironmentFields[] = {
@@ -38,7 +39,10 @@
 
 const Field<TierKeys> kTierFields[] = { { "names", &TierKeys::names, true } };
 
-const Field<VmKeys> kVmFields[] = { { "slots", &VmKeys::slots, true } };
+const Field<VmKeys> kVmFields[] = {
+  { "slots", &VmKeys::slots, true },
+  { "first-start", &VmKeys::firstStart },
+};
 
 const Field<Team> kTeamFields[] = {
   { "token-digest", &Team::tokenDigests, true },
@@ -199,7 +203,9 @@
     mDocument.generation = environment.generation;
     mDocument.origin = environment.origin;
     mDocument.tiers = BindOnly("tiers", kTierFields, true).names;
-    mDocument.slots = BindOnly("vms", kVmFields, true).slots;
+    const auto vms = BindOnly("vms", kVmFields, true);
+    mDocument.slots = vms.slots;
+    mDocument.firstStart = vms.firstStart;
     mDocument.limits = BindOnly("limits", kLimitFields, false);
   }
 
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -277,7 +277,9 @@
 asio::awaitable<void>
 Gateway::Core::ServeHealth(http::Exchange& aExchange)
 {
-  const bool ready = !draining.load() && parts.document->Load() != nullptr;
+  const bool joined = !parts.ready || parts.ready();
+  const bool ready =
+    joined && !draining.load() && parts.document->Load() != nullptr;
   co_await aExchange.Respond(
     http::TextResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
 }
--- /dev/null
+++ b/src/node/admin_service.h
@@ -0,0 +1,56 @@
+// What operators' tools read: state, counters and the audit trail of one VM.
+#ifndef MAGNOLIATIDE_SRC_NODE_ADMIN_SERVICE_H
+#define MAGNOLIATIDE_SRC_NODE_ADMIN_SERVICE_H
+
+#include "magnoliatide/core/rcu_cell.h"
+#include "magnoliatide/document/settings.h"
+#include "magnoliatide/http/server.h"
+#include "magnoliatide/policy/scheduler.h"
+#include "magnoliatide/telemetry/audit.h"
+#include "magnoliatide/telemetry/metrics.h"
+#include "magnoliatide/wire/messages.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliatide::node {
+
+struct AdminParts
+{
+  const document::Settings* settings = nullptr;
+  telemetry::Metrics* metrics = nullptr;
+  telemetry::AuditTrail* audit = nullptr;
+  const RcuCell<document::Document>* document = nullptr;
+  policy::Scheduler* scheduler = nullptr;
+  std::uint64_t process = 0;
+  // Called on the control loop, where the admin server runs.
+  std::function<std::vector<wire::MemberRecord>()> members;
+  std::function<bool()> claimsComplete;
+  std::function<std::size_t()> claimKeys;
+  std::function<std::set<std::string>()> leaving;
+};
+
+class AdminService
+{
+public:
+  explicit AdminService(AdminParts aParts);
+
+  /// Serves /metrics, /status, /audit and /document to holders of the
+  /// operators' token.
+  boost::asio::awaitable<void> Handle(http::Exchange& aExchange);
+
+private:
+  bool Authorized(const http::Request& aRequest) const;
+  std::string StatusJson() const;
+  std::string AuditJson(std::uint64_t aAfter) const;
+
+  AdminParts mParts;
+};
+
+} // namespace magnoliatide::node
+
+#endif
--- a/src/node/vm.cpp
+++ b/src/node/vm.cpp
@@ -1,19 +1,23 @@
 // Puts the parts of a VM together.
 #include "magnoliatide/node/vm.h"
 
-#include "local_guard.h"
+#include "admin_service.h"
+#include "claim_service.h"
+#include "config_service.h"
+#include "peer_link.h"
+#include "slot_service.h"
 
 #include "magnoliatide/core/digest.h"
 #include "magnoliatide/entry/gateway.h"
-#include "magnoliatide/platform/reader.h"
+#include "magnoliatide/membership/membership.h"
 #include "magnoliatide/telemetry/audit.h"
-#include "magnoliatide/telemetry/log.h"
 
 #include <boost/asio.hpp>
 
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <thread>
 
 namespace magnoliatide::node {
 
@@ -22,9 +26,12 @@
 namespace {
 
 constexpr Duration kTick = Milliseconds(5);
-constexpr Duration kWatchWait = Seconds(20);
-constexpr Duration kRetryRead = Milliseconds(500);
+constexpr Duration kForgetPeriod = Seconds(10);
+constexpr Duration kSyncPeriod = Milliseconds(500);
+constexpr Duration kSyncBound = Seconds(2);
+constexpr Duration kJoinTime = Seconds(2);
 constexpr Duration kLameDuck = Seconds(1);
+constexpr std::uint64_t kListVersionStep = 256;
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
 policy::SchedulerOptions
@@ -41,31 +48,76 @@
   options.book.seed = RandomId();
   options.book.zone = aSettings.Zone();
   options.book.rule = kRules.at(aSettings.choiceRule);
-  options.book.learnLimits = aSettings.slotScheme != "static";
+  options.book.learnLimits = aSettings.slotScheme == "guess";
   options.queueRule = aSettings.queueRule == "arrival"
                         ? policy::QueueRule::kArrival
                         : policy::QueueRule::kTieredFair;
   return options;
 }
 
+std::uint64_t
+WallMillis()
+{
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(
+                                      WallClock::now().time_since_epoch())
+                                      .count());
+}
+
+membership::MembershipOptions
+MembershipOptionsFor(const document::Settings& aSettings,
+                     std::uint64_t aProcess)
+{
+  membership::MembershipOptions options;
+  options.self.slot = aSettings.slot;
+  options.self.address = document::Format(aSettings.peerAddress);
+  options.self.process = aProcess;
+  options.self.incarnation = WallMillis();
+  options.seed = aProcess;
+  for (const auto& seed : aSettings.seeds) {
+    options.seeds.push_back(document::Format(seed));
+  }
+  return options;
+}
+
+const char*
+Name(wire::MemberState aState)
+{
+  switch (aState) {
+    case wire::MemberState::kAlive:
+      return "alive";
+    case wire::MemberState::kSuspect:
+      return "suspect";
+    case wire::MemberState::kDead:
+      return "dead";
+    case wire::MemberState::kLeft:
+      return "left";
+  }
+  return "unknown";
+}
+
 class AsioVm : public Vm
 {
 public:
   explicit AsioVm(const document::Settings& aSettings)
     : mSettings(aSettings)
     , mProcess(RandomId())
+    , mStarted(Clock::now())
     , mAudit(aSettings.slot + "#" + ToHex(mProcess))
     , mControl(1)
     , mThreads(static_cast<std::size_t>(aSettings.threads))
     , mScheduler(OptionsFor(aSettings))
     , mPool({ .localHost = aSettings.callerAddress.host })
+    , mMembers(MembershipOptionsFor(aSettings, mProcess))
+    , mLink(mControl.At(0), mSettings, mMetrics)
+    , mClaims(PartsForClaims())
+    , mSlots(PartsForSlots())
+    , mConfig(PartsForConfig())
     , mGateway(PartsForGateway())
+    , mAdmin(PartsForAdmin())
   {
-    StartServers();
     mAudit.Add("vm", "", "started", "process start");
-    asio::co_spawn(mControl.At(0), TickLoop(), asio::detached);
-    asio::co_spawn(mControl.At(0), ConfigLoop(), asio::detached);
-    asio::co_spawn(mControl.At(0), VmListLoop(), asio::detached);
+    asio::post(mControl.At(0), [this] { StartControl(); });
+    StartServers();
   }
 
   ~AsioVm() override
@@ -90,6 +142,54 @@
   }
 
 private:
+  ClaimServiceParts PartsForClaims()
+  {
+    ClaimServiceParts parts;
+    parts.loop = &mControl.At(0);
+    parts.link = &mLink;
+    parts.metrics = &mMetrics;
+    parts.slot = mSettings.slot;
+    parts.process = mProcess;
+    parts.startNumber = mMembers.Self().incarnation;
+    parts.addressOf = [this](const std::string& aSlot) {
+      for (const auto& record : mMembers.Live()) {
+        if (record.slot == aSlot) {
+          return record.address;
+        }
+      }
+      return std::string();
+    };
+    return parts;
+  }
+
+  SlotServiceParts PartsForSlots()
+  {
+    SlotServiceParts parts;
+    parts.link = &mLink;
+    parts.metrics = &mMetrics;
+    parts.scheduler = &mScheduler;
+    parts.slot = mSettings.slot;
+    parts.live = [this] { return mMembers.Live(); };
+    return parts;
+  }
+
+  ConfigServiceParts PartsForConfig()
+  {
+    ConfigServiceParts parts;
+    parts.loop = &mControl.At(0);
+    parts.link = &mLink;
+    parts.metrics = &mMetrics;
+    parts.audit = &mAudit;
+    parts.cell = &mDocument;
+    parts.settings = mSettings;
+    parts.liveInZone = [this] { return LiveInZone(); };
+    parts.onAccepted = [this](const document::Document& aDocument) {
+      TakeDocument(aDocument);
+    };
+    parts.onList = [this](const platform::VmList& aList) { TakeList(aList); };
+    return parts;
+  }
+
   entry::GatewayParts PartsForGateway()
   {
     entry::GatewayParts parts;
@@ -97,20 +197,39 @@
     parts.scheduler = &mScheduler;
     parts.pool = &mPool;
     parts.metrics = &mMetrics;
-    parts.guard = &mGuard;
+    parts.guard = &mClaims;
     parts.idPrefix = ToHex(mProcess);
+    parts.ready = [this] { return mReady.load(); };
     parts.onLeaving = [this](const std::string& aName) {
-      asio::post(mControl.At(0), [this, aName] {
-        NoteLeaving(aName, "the backend server's own notice");
+      asio::post(mControl.At(0), [this, aName] { NoteLeaving(aName); });
+    };
+    parts.onSuspects = [this](std::vector<policy::SuspectEntry> aEntries) {
+      asio::post(mControl.At(0), [this, entries = std::move(aEntries)] {
+        SpreadSuspects(entries);
       });
     };
-    parts.onSuspects = [](const auto&) {};
     parts.onCrash = [this](const std::string& aName) {
       mAudit.Add("backend " + aName, "good", "down", "crash seen");
     };
     return parts;
   }
 
+  AdminParts PartsForAdmin()
+  {
+    AdminParts parts;
+    parts.settings = &mSettings;
+    parts.metrics = &mMetrics;
+    parts.audit = &mAudit;
+    parts.document = &mDocument;
+    parts.scheduler = &mScheduler;
+    parts.process = mProcess;
+    parts.members = [this] { return mMembers.All(); };
+    parts.claimsComplete = [this] { return mClaims.Complete(); };
+    parts.claimKeys = [this] { return mClaims.Keys(); };
+    parts.leaving = [this] { return mLeaving; };
+    return parts;
+  }
+
   void StartServers()
   {
     http::ServerOptions callers;
@@ -121,114 +240,290 @@
       });
     http::ServerOptions admin;
     admin.address = mSettings.adminAddress;
-    mAdmin =
+    mAdminServer =
       http::StartServer(mControl, admin, [this](http::Exchange& aExchange) {
-        return ServeAdmin(aExchange);
+        return mAdmin.Handle(aExchange);
       });
   }
 
-  asio::awaitable<void> ServeAdmin(http::Exchange& aExchange)
+  void StartControl()
   {
-    if (http::PathOf(aExchange.Incoming()) == "/metrics") {
-      co_await aExchange.Respond(http::TextResponse(200, mMetrics.Render()));
-      co_return;
-    }
-    co_await aExchange.Respond(http::TextResponse(404, "no such path\n"));
+    mLink.Start(
+      [this](wire::Header& aHeader) {
+        aHeader.sender = mMembers.Self();
+        aHeader.head = mConfig.Head();
+      },
+      [this](const wire::Header& aHeader, const wire::DatagramBody& aBody) {
+        TakeDatagram(aHeader, aBody);
+      },
+      [this](const wire::Header& aHeader, const wire::FrameBody& aBody) {
+        return TakeFrame(aHeader, aBody);
+      });
+    mConfig.Start();
+    mClaims.Start();
+    asio::co_spawn(mControl.At(0), TickLoop(), asio::detached);
+    asio::co_spawn(mControl.At(0), SyncLoop(), asio::detached);
+  }
+
+  asio::awaitable<void> Pause(Duration aTime)
+  {
+    asio::steady_timer timer(mControl.At(0), aTime);
+    co_await timer.async_wait(kNoThrow);
   }
 
   asio::awaitable<void> TickLoop()
   {
-    asio::steady_timer timer(mControl.At(0));
+    TimePoint nextForget = Clock::now() + kForgetPeriod;
     while (true) {
-      timer.expires_after(kTick);
-      co_await timer.async_wait(kNoThrow);
-      mGateway.Apply(mScheduler.Tick(Clock::now()));
+      co_await Pause(kTick);
+      const auto now = Clock::now();
+      SendAll(mMembers.Tick(now));
+      TakeMemberEvents();
+      if (mSettings.slotScheme == "lease") {
+        mSlots.Tick(now);
+      }
+      mGateway.Apply(mScheduler.Tick(now));
+      JudgeReady(now);
+      if (now >= nextForget) {
+        nextForget = now + kForgetPeriod;
+        mClaims.Forget();
+      }
     }
   }
 
-  asio::awaitable<void> Pause(Duration aTime)
+  /// A VM serves once it has a document and has heard a peer, so that it does
+  /// not serve under a document that the platform is late to replace. Where
+  /// no peer answers in time it serves alone.
+  void JudgeReady(TimePoint aNow)
   {
-    asio::steady_timer timer(mControl.At(0), aTime);
-    co_await timer.async_wait(kNoThrow);
+    if (mReady.load() || !mDocument.Load()) {
+      return;
+    }
+    const bool single = mDocument.Load()->slots.size() <= 1;
+    if (mHeardPeer || single || aNow - mStarted >= kJoinTime) {
+      mReady.store(true);
+      mAudit.Add("vm", "started", "serving", mHeardPeer ? "joined" : "alone");
+    }
   }
 
-  platform::ReaderOptions Reader() const
+  void SendAll(const std::vector<membership::Outgoing>& aMessages)
   {
-    return { mSettings.platformAddress,
-             mSettings.environment,
-             mSettings.peerAddress.host };
+    for (const auto& message : aMessages) {
+      mLink.Send(message.address, message.body);
+    }
   }
 
-  asio::awaitable<void> ConfigLoop()
+  void TakeDatagram(const wire::Header& aHeader,
+                    const wire::DatagramBody& aBody)
   {
-    std::uint64_t index = 0;
-    while (true) {
-      const Duration wait = index == 0 ? Duration::zero() : kWatchWait;
-      auto value = co_await platform::ReadConfig(Reader(), index, wait);
-      if (value.status == platform::ReadStatus::kValue) {
-        index = value.index;
-        Offer(value.text);
-      } else if (value.status == platform::ReadStatus::kFailed) {
-        index = 0;
-        co_await Pause(kRetryRead);
+    mHeardPeer = true;
+    mConfig.NoteHead(aHeader.sender.address, aHeader.head);
+    SendAll(mMembers.Receive(aHeader, aBody, Clock::now()));
+    mClaims.Handle(aHeader, aBody);
+    mSlots.Handle(aHeader, aBody);
+    TakeMemberEvents();
+  }
+
+  wire::FrameBody TakeFrame(const wire::Header& aHeader,
+                            const wire::FrameBody& aBody)
+  {
+    mConfig.NoteHead(aHeader.sender.address, aHeader.head);
+    if (std::holds_alternative<wire::DocumentRequest>(aBody)) {
+      const auto document = mDocument.Load();
+      return wire::DocumentReply{ document ? document->text : "" };
+    }
+    if (const auto* sync = std::get_if<wire::SyncRequest>(&aBody)) {
+      mMembers.Absorb(sync->gossip, Clock::now());
+      TakeMemberEvents();
+      return wire::SyncReply{ mMembers.Everything() };
+    }
+    if (const auto* copy = std::get_if<wire::CopyRequest>(&aBody)) {
+      return mClaims.HandleCopy(*copy);
+    }
+    if (const auto* outcome = std::get_if<wire::OutcomeRequest>(&aBody)) {
+      return mClaims.HandleOutcome(*outcome);
+    }
+    if (const auto* audit = std::get_if<wire::AuditRequest>(&aBody)) {
+      return wire::AuditReply{ ToWire(mAudit.Since(audit->after)) };
+    }
+    return wire::SyncReply{};
+  }
+
+  static std::vector<wire::AuditLine> ToWire(
+    const std::vector<telemetry::AuditRecord>& aRecords)
+  {
+    std::vector<wire::AuditLine> lines;
+    for (const auto& record : aRecords) {
+      lines.push_back({ record.number,
+                        record.observer,
+                        record.time,
+                        record.subject,
+                        record.from,
+                        record.to,
+                        record.cause,
+                        record.digest });
+    }
+    return lines;
+  }
+
+  void TakeMemberEvents()
+  {
+    const auto changes = mMembers.TakeChanges();
+    for (const auto& change : changes) {
+      mAudit.Add("vm " + change.record.slot,
+                 Name(change.from),
+                 Name(change.record.state),
+                 "membership, process " + ToHex(change.record.process));
+    }
+    if (!changes.empty()) {
+      mScheduler.SetSharers(static_cast<int>(mMembers.Live().size()));
+      mSlots.MembersChanged();
+    }
+    for (const auto& rumour : mMembers.TakeNews()) {
+      TakeRumour(rumour);
+    }
+    if (mMembers.TakeWoke()) {
+      mAudit.Add("vm", "paused", "awake", "a step of time was too long");
+      mSlots.DropGrants();
+    }
+    if (mMembers.Superseded() && !mStepsAside) {
+      mStepsAside = true;
+      mAudit.Add("vm", "serving", "superseded", "a newer process has the slot");
+      BeginStop();
+    }
+  }
+
+  void TakeRumour(const wire::Rumour& aRumour)
+  {
+    if (aRumour.kind == wire::RumourKind::kSuspect) {
+      const policy::SuspectEntry entry{
+        std::strtoull(aRumour.key.c_str(), nullptr, 16),
+        static_cast<policy::Suspicion>(std::atoi(aRumour.value.c_str()))
+      };
+      mScheduler.MergeSuspect(entry, Clock::now());
+      return;
+    }
+    const auto name = aRumour.key.substr(0, aRumour.key.find('@'));
+    if (aRumour.value == "leaving" && mLeaving.insert(aRumour.key).second) {
+      mAudit.Add("backend " + name, "serving", "leaving", "notice");
+    } else if (aRumour.value == "serving" && mLeaving.erase(aRumour.key) > 0) {
+      mAudit.Add("backend " + name, "leaving", "serving", "notice");
+    }
+    ApplyLeaving();
+  }
+
+  /// A notice holds for a name and address, so that a server that comes back
+  /// elsewhere under its old name is not taken to be leaving.
+  void ApplyLeaving()
+  {
+    const auto document = mDocument.Load();
+    if (!document) {
+      return;
+    }
+    std::set<std::string> names;
+    for (const auto& backend : document->backends) {
+      if (mLeaving.count(backend.name + "@" + backend.addressText) > 0) {
+        names.insert(backend.name);
       }
     }
+    mScheduler.SetLeaving(std::move(names));
   }
 
-  void Offer(const std::string& aText)
+  void NoteLeaving(const std::string& aName)
   {
-    std::vector<Fault> faults;
-    auto document = ValueOrFaults(
-      [&] { return document::ParseDocument("platform", aText); }, faults);
-    if (!faults.empty()) {
-      mAudit.Add("configuration", "", "refused", Describe(faults.front()));
+    const auto document = mDocument.Load();
+    const auto* backend = document ? document->FindBackend(aName) : nullptr;
+    if (backend == nullptr) {
       return;
     }
-    const auto current = mDocument.Load();
-    if (current && document.generation <= current->generation) {
+    const auto key = aName + "@" + backend->addressText;
+    const auto* known =
+      mMembers.FindRumour(wire::RumourKind::kBackendState, key);
+    if (known != nullptr && known->value == "leaving") {
       return;
     }
-    mScheduler.Apply(document);
-    mAudit.Add("configuration",
-               current ? std::to_string(current->generation) : "none",
-               std::to_string(document.generation),
-               "platform");
-    mDocument.Store(std::make_shared<document::Document>(std::move(document)));
+    const auto version = known == nullptr ? 1 : known->version + 1;
+    mMembers.Spread(
+      { wire::RumourKind::kBackendState, key, version, "leaving" });
+    SendAll(mMembers.Push(Clock::now()));
+    TakeMemberEvents();
   }
 
-  asio::awaitable<void> VmListLoop()
+  void SpreadSuspects(const std::vector<policy::SuspectEntry>& aEntries)
   {
-    std::uint64_t index = 0;
-    while (true) {
-      const Duration wait = index == 0 ? Duration::zero() : kWatchWait;
-      const auto list = co_await platform::ReadVmList(Reader(), index, wait);
-      if (list.status == platform::ReadStatus::kValue) {
-        index = list.index;
-        TakeList(list);
-      } else if (list.status == platform::ReadStatus::kFailed) {
-        index = 0;
-        co_await Pause(kRetryRead);
-      }
+    for (const auto& entry : aEntries) {
+      const auto key = ToHex(entry.fingerprint);
+      const auto* known = mMembers.FindRumour(wire::RumourKind::kSuspect, key);
+      const auto version = known == nullptr ? 1 : known->version + 1;
+      const auto level = std::to_string(static_cast<int>(entry.level));
+      mMembers.Spread({ wire::RumourKind::kSuspect, key, version, level });
+      mAudit.Add("request " + key, "", "suspicion " + level, "crash seen");
     }
+    SendAll(mMembers.Push(Clock::now()));
+    TakeMemberEvents();
+  }
+
+  void TakeDocument(const document::Document& aDocument)
+  {
+    mScheduler.Apply(aDocument);
+    mClaims.Configure(aDocument);
+    mSlots.Configure(aDocument);
+    ApplyLeaving();
+    SendAll(mMembers.Push(Clock::now()));
   }
 
   void TakeList(const platform::VmList& aList)
   {
-    for (const auto& backend : aList.backends) {
-      if (backend.leaving) {
-        NoteLeaving(backend.name, "the platform's list");
+    std::vector<std::string> seeds;
+    for (const auto& vm : aList.vms) {
+      seeds.push_back(document::Format(vm.peer));
+    }
+    mMembers.AddSeeds(seeds);
+    const auto document = mDocument.Load();
+    for (const auto& listed : aList.backends) {
+      const auto* backend =
+        document ? document->FindBackend(listed.name) : nullptr;
+      if (backend != nullptr) {
+        mMembers.Spread({ wire::RumourKind::kBackendState,
+                          listed.name + "@" + backend->addressText,
+                          aList.index * kListVersionStep,
+                          listed.leaving ? "leaving" : "serving" });
       }
     }
-    mScheduler.SetSharers(static_cast<int>(aList.vms.size()));
+    SendAll(mMembers.Push(Clock::now()));
+    TakeMemberEvents();
   }
 
-  void NoteLeaving(const std::string& aName, const std::string& aCause)
+  /// Exchanges everything with a peer whose rumours differ.
+  asio::awaitable<void> SyncLoop()
   {
-    if (!mLeaving.insert(aName).second) {
-      return;
+    while (true) {
+      co_await Pause(kSyncPeriod);
+      const auto peers = mMembers.TakeSyncPeers();
+      if (peers.empty()) {
+        continue;
+      }
+      mMetrics.Count("peer_syncs_total");
+      const auto answer = co_await mLink.Ask(
+        peers.back(), wire::SyncRequest{ mMembers.Everything() }, kSyncBound);
+      const auto* reply =
+        answer ? std::get_if<wire::SyncReply>(&*answer) : nullptr;
+      if (reply != nullptr) {
+        mMembers.Absorb(reply->gossip, Clock::now());
+        TakeMemberEvents();
+      }
     }
-    mScheduler.SetLeaving(mLeaving);
-    mAudit.Add("backend " + aName, "serving", "leaving", aCause);
+  }
+
+  std::vector<std::string> LiveInZone() const
+  {
+    std::vector<std::string> slots;
+    for (const auto& record : mMembers.Live()) {
+      if (record.slot.starts_with(mSettings.Zone() + "/")) {
+        slots.push_back(record.slot);
+      }
+    }
+    return slots;
   }
 
   void DrainCallers()
@@ -241,11 +536,15 @@
     while (mCallers->Counters().inProgress.load() > 0 && Clock::now() < end) {
       std::this_thread::sleep_for(Milliseconds(10));
     }
+    asio::post(mControl.At(0),
+               asio::use_future([this] { SendAll(mMembers.Leave()); }))
+      .wait();
     mAudit.Add("vm", "draining", "stopped", "no request in progress");
   }
 
   document::Settings mSettings;
   std::uint64_t mProcess;
+  TimePoint mStarted;
   telemetry::AuditTrail mAudit;
   telemetry::Metrics mMetrics;
   /// Null until the first document was accepted.
@@ -254,11 +553,22 @@
   http::Threads mThreads;
   policy::Scheduler mScheduler;
   backend::Pool mPool;
-  LocalGuard mGuard;
+  // The members from here on are touched on the control loop only.
+  membership::Membership mMembers;
+  PeerLink mLink;
+  ClaimService mClaims;
+  SlotService mSlots;
+  ConfigService mConfig;
+  /// Notices in force, as "name@address".
+  std::set<std::string> mLeaving;
+  bool mHeardPeer = false;
+  bool mStepsAside = false;
+  // End of the members of the control loop.
+  std::atomic<bool> mReady{ false };
   entry::Gateway mGateway;
+  AdminService mAdmin;
   std::unique_ptr<http::Server> mCallers;
-  std::unique_ptr<http::Server> mAdmin;
-  std::set<std::string> mLeaving;
+  std::unique_ptr<http::Server> mAdminServer;
   std::mutex mStopMutex;
   std::condition_variable mStopSignal;
   bool mStopping = false;
