--- a/src/claims/explore_test.cpp
+++ b/src/claims/explore_test.cpp
@@ -28,10 +28,10 @@
 /// What the exploration is allowed to do, and which defences are on.
 struct Rules
 {
-  int restarts = 1;       ///< Restarts of electors with nothing.
-  int rounds = 0;         ///< Further ballots of each sender.
+  int restarts = 1; ///< Restarts of electors with nothing.
+  int rounds = 0;   ///< Further ballots of each sender.
   bool checkIncarnations = true;
-  bool abstain = true;    ///< Restarted electors wait for copies.
+  bool abstain = true; ///< Restarted electors wait for copies.
 };
 
 RegisterOptions
@@ -173,8 +173,7 @@
       world.electors.push_back(FreshElector(i, 1));
     }
     for (std::size_t i = 0; i < kSenders; ++i) {
-      world.senders.push_back(
-        { ProposalOf(i, mRules), mRules.rounds, false });
+      world.senders.push_back({ ProposalOf(i, mRules), mRules.rounds, false });
       Launch(world, i);
     }
     world.restartsLeft = mRules.restarts;
@@ -229,9 +228,7 @@
     for (const auto& send : sender.proposal.Pending()) {
       const auto at = std::find(kSlots.begin(), kSlots.end(), send.slot);
       aWorld.flying.push_back(
-        { aSender,
-          static_cast<std::size_t>(at - kSlots.begin()),
-          send.body });
+        { aSender, static_cast<std::size_t>(at - kSlots.begin()), send.body });
     }
   }
 
@@ -362,9 +359,9 @@
   {
     aWorld.restartsLeft -= 1;
     const auto life = aWorld.nextLife++;
-    aWorld.electors[aIndex] =
-      mRules.abstain ? Register(OptionsOf(aIndex, life, false))
-                     : FreshElector(aIndex, life);
+    aWorld.electors[aIndex] = mRules.abstain
+                                ? Register(OptionsOf(aIndex, life, false))
+                                : FreshElector(aIndex, life);
   }
 
   static void Copy(World& aWorld, std::size_t aIndex, std::size_t aOther)
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -319,10 +319,11 @@
   }
   auto& member = found->second;
   if (!Replaces(aRecord, member.record)) {
-    // A sender that speaks under a record that others hold dead must hear of
-    // it, so that it can raise its incarnation.
-    if (member.record.state != wire::MemberState::kAlive &&
-        aRecord.state == wire::MemberState::kAlive) {
+    // A sender that speaks under a record that others hold dead, or hold for
+    // another process, must hear of it, so that it can raise its incarnation.
+    const bool dead = member.record.state != wire::MemberState::kAlive;
+    const bool other = member.record.process != aRecord.process;
+    if ((dead || other) && aRecord.state == wire::MemberState::kAlive) {
       QueueUpdate(aRecord.slot);
     }
     return;
--- /dev/null
+++ b/src/membership/membership_test.cpp
@@ -0,0 +1,227 @@
+// Membership over a small network whose delays and losses are drawn from a
+// seed. Time is the test's own.
+#include "magnoliatide/membership/membership.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+namespace magnoliatide::membership {
+namespace {
+
+const TimePoint kStart = TimePoint{} + Seconds(1000);
+constexpr Duration kStep = Milliseconds(5);
+
+struct Flying
+{
+  TimePoint at;
+  std::size_t from = 0;
+  std::size_t to = 0;
+  wire::Header header;
+  wire::DatagramBody body;
+};
+
+class Network
+{
+public:
+  Network(std::size_t aVms, double aLoss, std::uint64_t aSeed)
+    : mLoss(aLoss)
+    , mRandom(aSeed)
+    , mPaused(aVms, false)
+    , mZone(aVms, 0)
+  {
+    for (std::size_t i = 0; i < aVms; ++i) {
+      mVms.push_back(std::make_unique<Membership>(OptionsOf(i, 1)));
+    }
+  }
+
+  static MembershipOptions OptionsOf(std::size_t aIndex, std::uint64_t aLife)
+  {
+    MembershipOptions options;
+    options.self.slot = "z/" + std::to_string(aIndex);
+    options.self.address = std::to_string(aIndex);
+    options.self.process = aIndex * 100 + aLife;
+    options.self.incarnation = aLife;
+    options.seeds = { "0", "1" };
+    options.seed = aIndex + aLife;
+    return options;
+  }
+
+  void Run(Duration aTime)
+  {
+    const auto end = mNow + aTime;
+    while (mNow < end) {
+      mNow += kStep;
+      Deliver();
+      for (std::size_t i = 0; i < mVms.size(); ++i) {
+        if (!mPaused[i]) {
+          Send(i, mVms[i]->Tick(mNow));
+        }
+      }
+    }
+  }
+
+  void SetPaused(std::size_t aVm, bool aPaused) { mPaused[aVm] = aPaused; }
+  void SetZone(std::size_t aVm, int aZone) { mZone[aVm] = aZone; }
+
+  void Replace(std::size_t aVm, std::uint64_t aLife)
+  {
+    mVms[aVm] = std::make_unique<Membership>(OptionsOf(aVm, aLife));
+  }
+
+  wire::MemberState Seen(std::size_t aBy, std::size_t aOf) const
+  {
+    for (const auto& record : mVms[aBy]->All()) {
+      if (record.slot == "z/" + std::to_string(aOf)) {
+        return record.state;
+      }
+    }
+    return wire::MemberState::kDead;
+  }
+
+  bool AllSee(std::size_t aOf, wire::MemberState aState) const
+  {
+    for (std::size_t by = 0; by < mVms.size(); ++by) {
+      if (by != aOf && !mPaused[by] && Seen(by, aOf) != aState) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  Membership& At(std::size_t aVm) { return *mVms[aVm]; }
+
+private:
+  void Send(std::size_t aFrom, const std::vector<Outgoing>& aMessages)
+  {
+    std::uniform_real_distribution<double> draw(0, 1);
+    for (const auto& message : aMessages) {
+      const auto to = std::stoul(message.address);
+      if (draw(mRandom) < mLoss || mZone[aFrom] != mZone[to]) {
+        continue;
+      }
+      wire::Header header;
+      header.sender = mVms[aFrom]->Self();
+      const auto delay = Milliseconds(1 + mRandom() % 8);
+      mFlying.push_back({ mNow + delay, aFrom, to, header, message.body });
+    }
+  }
+
+  /// A paused VM's messages wait for it, as in the buffer of its socket.
+  void Deliver()
+  {
+    std::deque<Flying> due;
+    due.swap(mFlying);
+    for (auto& message : due) {
+      if (message.at > mNow || mPaused[message.to]) {
+        mFlying.push_back(std::move(message));
+        continue;
+      }
+      Send(message.to,
+           mVms[message.to]->Receive(message.header, message.body, mNow));
+    }
+  }
+
+  double mLoss;
+  std::mt19937_64 mRandom;
+  std::vector<bool> mPaused;
+  std::vector<int> mZone;
+  std::vector<std::unique_ptr<Membership>> mVms;
+  std::deque<Flying> mFlying;
+  TimePoint mNow = kStart;
+};
+
+RC_GTEST_PROP(Membership, ADeadVmIsKnownEverywhereWithinThreeSeconds, ())
+{
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  Network network(8, 0.0, seed);
+  network.Run(Seconds(5));
+  network.SetPaused(3, true);
+  network.Run(Seconds(3));
+  RC_ASSERT(network.AllSee(3, wire::MemberState::kDead));
+}
+
+RC_GTEST_PROP(Membership, APauseOfASecondKillsNobody, ())
+{
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  Network network(8, 0.0, seed);
+  network.Run(Seconds(5));
+  network.SetPaused(3, true);
+  network.Run(Seconds(1));
+  for (std::size_t by = 0; by < 8; ++by) {
+    RC_ASSERT(network.Seen(by, 3) != wire::MemberState::kDead);
+  }
+  network.SetPaused(3, false);
+  network.Run(Seconds(3));
+  for (std::size_t of = 0; of < 8; ++of) {
+    RC_ASSERT(network.AllSee(of, wire::MemberState::kAlive));
+  }
+}
+
+RC_GTEST_PROP(Membership, LossOfAFifthDeclaresNobodyDeadForGood, ())
+{
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  Network network(8, 0.2, seed);
+  network.Run(Seconds(20));
+  for (std::size_t of = 0; of < 8; ++of) {
+    int dead = 0;
+    for (std::size_t by = 0; by < 8; ++by) {
+      dead += network.Seen(by, of) == wire::MemberState::kDead ? 1 : 0;
+    }
+    RC_ASSERT(dead <= 2);
+  }
+}
+
+TEST(Membership, ACutHealsWithoutAnOperator)
+{
+  Network network(8, 0.0, 7);
+  network.Run(Seconds(5));
+  for (std::size_t vm = 4; vm < 8; ++vm) {
+    network.SetZone(vm, 1);
+  }
+  network.Run(Seconds(10));
+  EXPECT_EQ(network.Seen(0, 5), wire::MemberState::kDead);
+  EXPECT_EQ(network.Seen(4, 5), wire::MemberState::kAlive);
+  for (std::size_t vm = 4; vm < 8; ++vm) {
+    network.SetZone(vm, 0);
+  }
+  network.Run(Seconds(10));
+  for (std::size_t of = 0; of < 8; ++of) {
+    EXPECT_TRUE(network.AllSee(of, wire::MemberState::kAlive)) << of;
+  }
+}
+
+TEST(Membership, AReplacedVmWithAWrongClockTakesOverItsSlot)
+{
+  Network network(4, 0.0, 9);
+  network.Run(Seconds(5));
+  // The new process starts with a lower incarnation than the old one had.
+  network.Replace(2, 0);
+  network.Run(Seconds(5));
+  EXPECT_TRUE(network.AllSee(2, wire::MemberState::kAlive));
+  EXPECT_FALSE(network.At(2).Superseded());
+  EXPECT_GT(network.At(2).Self().incarnation, 1u);
+}
+
+TEST(Membership, ARumourReachesEveryone)
+{
+  Network network(8, 0.1, 11);
+  network.Run(Seconds(5));
+  network.At(5).Spread(
+    { wire::RumourKind::kBackendState, "e1@1:1", 4, "leaving" });
+  network.Run(Seconds(3));
+  int know = 0;
+  for (std::size_t vm = 0; vm < 8; ++vm) {
+    know += network.At(vm).FindRumour(wire::RumourKind::kBackendState,
+                                      "e1@1:1") != nullptr
+              ? 1
+              : 0;
+  }
+  EXPECT_EQ(know, 8);
+}
+
+} // namespace
+} // namespace magnoliatide::membership
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -31,13 +31,11 @@
   auto whole = Quotes(20, Seconds(2));
   whole.name = "unstreamed";
   whole.stream = false;
-  const auto records =
-    SendAll(fleet, { Quotes(40, Seconds(2)), whole }, 1);
+  const auto records = SendAll(fleet, { Quotes(40, Seconds(2)), whole }, 1);
   load::RunLog log;
   const auto findings = CheckRun(fleet, records, log);
   EXPECT_TRUE(findings.Passed()) << Examples(findings);
-  EXPECT_EQ(CountOf(records, Ending::kWhole),
-            static_cast<int>(records.size()));
+  EXPECT_EQ(CountOf(records, Ending::kWhole), static_cast<int>(records.size()));
 }
 
 TEST(Answers, CrossedOnesAreNeverPassedOn)
@@ -63,13 +61,11 @@
   fleet.SetFaults(fleet.Backends()[0].address, "cut=4");
   auto whole = Quotes(20, Seconds(2));
   whole.stream = false;
-  const auto records =
-    SendAll(fleet, { Quotes(20, Seconds(2)), whole }, 3);
+  const auto records = SendAll(fleet, { Quotes(20, Seconds(2)), whole }, 3);
   load::RunLog log;
   const auto findings = CheckRun(fleet, records, log);
   EXPECT_TRUE(findings.Passed()) << Examples(findings);
-  EXPECT_EQ(CountOf(records, Ending::kCut) +
-              CountOf(records, Ending::kUnknown),
+  EXPECT_EQ(CountOf(records, Ending::kCut) + CountOf(records, Ending::kUnknown),
             4);
 }
 
@@ -117,11 +113,10 @@
   auto letters = Quotes(30, Seconds(4));
   letters.leastOutput = 100;
   letters.mostOutput = 250;
-  const auto records =
-    SendAll(fleet, { letters }, 7, [&](TimePoint aStart) {
-      std::this_thread::sleep_until(aStart + Seconds(1));
-      fleet.Vms()[0].process.Signal(SIGTERM);
-    });
+  const auto records = SendAll(fleet, { letters }, 7, [&](TimePoint aStart) {
+    std::this_thread::sleep_until(aStart + Seconds(1));
+    fleet.Vms()[0].process.Signal(SIGTERM);
+  });
   EXPECT_TRUE(fleet.Vms()[0].process.Wait(Seconds(20)));
   EXPECT_EQ(fleet.Vms()[0].process.ExitStatus(), 0);
   load::RunLog log;
--- a/tests/backends_process_test.cpp
+++ b/tests/backends_process_test.cpp
@@ -22,8 +22,7 @@
 }
 
 void
-ExpectNoNewWork(load::Fleet& aFleet,
-                const std::function<void()>& aGiveNotice)
+ExpectNoNewWork(load::Fleet& aFleet, const std::function<void()>& aGiveNotice)
 {
   std::size_t before = 0;
   std::size_t after = 0;
@@ -37,8 +36,7 @@
   after = RunsAt(aFleet, 0);
   EXPECT_GT(before, 0u);
   EXPECT_EQ(after, before);
-  EXPECT_EQ(CountOf(records, Ending::kWhole),
-            static_cast<int>(records.size()));
+  EXPECT_EQ(CountOf(records, Ending::kWhole), static_cast<int>(records.size()));
 }
 
 TEST(Backends, OneListedAsLeavingGetsNoWorkAfterThreeSeconds)
@@ -53,9 +51,8 @@
 {
   load::Fleet fleet(SmallFleet("leaving-notice"));
   ASSERT_TRUE(fleet.Start());
-  ExpectNoNewWork(fleet, [&] {
-    fleet.SetFaults(fleet.Backends()[0].address, "leaving=1");
-  });
+  ExpectNoNewWork(
+    fleet, [&] { fleet.SetFaults(fleet.Backends()[0].address, "leaving=1"); });
 }
 
 TEST(Backends, OneRemovedFromTheDocumentGetsNoWorkAndItsWorkEnds)
@@ -91,8 +88,7 @@
     ASSERT_TRUE(Await(
       [&] {
         for (std::size_t i = 0; i < 3; ++i) {
-          const auto health =
-            fleet.Get(fleet.Backends()[i].address, "/health");
+          const auto health = fleet.Get(fleet.Backends()[i].address, "/health");
           if (health.response.status != 200 ||
               health.status != http::CallStatus::kDone) {
             return false;
--- a/tests/claims_process_test.cpp
+++ b/tests/claims_process_test.cpp
@@ -63,8 +63,8 @@
   load::Fleet fleet(FiveVms("vm-kill"));
   ASSERT_TRUE(fleet.Start());
   ASSERT_TRUE(AwaitVoters(fleet));
-  const auto records = SendAll(
-    fleet, { Deposits(60, Seconds(6), 5) }, 12, [&](TimePoint aStart) {
+  const auto records =
+    SendAll(fleet, { Deposits(60, Seconds(6), 5) }, 12, [&](TimePoint aStart) {
       for (std::size_t vm = 0; vm < 4; ++vm) {
         std::this_thread::sleep_until(aStart + Seconds(1) +
                                       Milliseconds(1200) * vm);
@@ -86,8 +86,8 @@
   load::Fleet fleet(FiveVms("vm-pause"));
   ASSERT_TRUE(fleet.Start());
   ASSERT_TRUE(AwaitVoters(fleet));
-  const auto records = SendAll(
-    fleet, { Deposits(60, Seconds(5), 5) }, 13, [&](TimePoint aStart) {
+  const auto records =
+    SendAll(fleet, { Deposits(60, Seconds(5), 5) }, 13, [&](TimePoint aStart) {
       for (std::size_t vm = 0; vm < 2; ++vm) {
         std::this_thread::sleep_until(aStart + Seconds(1) + Seconds(2) * vm);
         fleet.Vms()[vm].process.Signal(SIGSTOP);
--- a/tests/configuration_process_test.cpp
+++ b/tests/configuration_process_test.cpp
@@ -35,8 +35,7 @@
   ASSERT_TRUE(fleet.Start());
   for (std::uint64_t generation = 2; generation <= 5; ++generation) {
     fleet.Publish(generation);
-    EXPECT_TRUE(
-      Await([&] { return AllAt(fleet, generation); }, Seconds(2)));
+    EXPECT_TRUE(Await([&] { return AllAt(fleet, generation); }, Seconds(2)));
   }
 }
 
@@ -97,8 +96,8 @@
   fleet.Publish(7, "[kind broken]\nservice = nowhere\n");
   const auto reported = [&] {
     for (std::size_t vm = 0; vm < 3; ++vm) {
-      if (CounterAt(
-            fleet, vm, "documents_offered_total{result=\"invalid\"}") > 0) {
+      if (CounterAt(fleet, vm, "documents_offered_total{result=\"invalid\"}") >
+          0) {
         return true;
       }
     }
--- a/tests/input_test.cpp
+++ b/tests/input_test.cpp
@@ -85,8 +85,8 @@
   ExpectRefusal(Send(Post("/v1/completions", "{")), 400, "bad-json");
   ExpectRefusal(Send(Post("/v1/completions", "[]")), 400, "bad-json");
   ExpectRefusal(Send(Post("/v1/completions", "{}")), 400, "bad-prompt");
-  const std::string deep = R"({"prompt":)" + std::string(64, '[') +
-                           std::string(64, ']') + "}";
+  const std::string deep =
+    R"({"prompt":)" + std::string(64, '[') + std::string(64, ']') + "}";
   ExpectRefusal(Send(Post("/v1/completions", deep)), 400, "bad-json");
   ExpectRefusal(
     Send(Post("/v1/completions", R"({"prompt":"x","max_tokens":-1})")),
@@ -107,8 +107,8 @@
                                 "Content-Length: 2097152\r\n\r\n" +
                                 body.substr(0, 1000));
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 413")) << answer.substr(0, 60);
-  const auto wide = RawAnswer("GET / HTTP/1.1\r\nX-A: " +
-                              std::string(40000, 'a') + "\r\n\r\n");
+  const auto wide =
+    RawAnswer("GET / HTTP/1.1\r\nX-A: " + std::string(40000, 'a') + "\r\n\r\n");
   EXPECT_TRUE(wide.starts_with("HTTP/1.1 431")) << wide.substr(0, 60);
 }
 
@@ -120,8 +120,7 @@
 
 TEST_F(Input, HeadersThatTheSystemSetsAreNotTakenFromCallers)
 {
-  auto request =
-    Post("/v1/completions", R"({"prompt":"x","max_tokens":2})");
+  auto request = Post("/v1/completions", R"({"prompt":"x","max_tokens":2})");
   request.headers.push_back({ "X-Request-Id", "forged" });
   const auto response = Send(request);
   EXPECT_EQ(response.status, 200);
--- a/tests/membership_process_test.cpp
+++ b/tests/membership_process_test.cpp
@@ -88,9 +88,9 @@
 {
   load::Fleet fleet(SmallFleet("two"));
   ASSERT_TRUE(fleet.Start());
-  ASSERT_TRUE(Await(
-    [&] { return AllSee(fleet, fleet.Vms()[0].name, "alive", 0); },
-    Seconds(5)));
+  ASSERT_TRUE(
+    Await([&] { return AllSee(fleet, fleet.Vms()[0].name, "alive", 0); },
+          Seconds(5)));
   // The second process has the slot's name and other addresses.
   auto settings = fleet.Vms()[0].command;
   load::FleetOptions other = fleet.Options();
@@ -109,20 +109,22 @@
   ASSERT_TRUE(fleet.Start());
   boost::asio::io_context context;
   boost::asio::ip::udp::socket socket(
-    context, boost::asio::ip::udp::endpoint(
-               boost::asio::ip::make_address("127.0.0.1"), 0));
+    context,
+    boost::asio::ip::udp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                                   0));
   const auto& peer = fleet.Vms()[0].peer;
   const boost::asio::ip::udp::endpoint target(
     boost::asio::ip::make_address(peer.host), peer.port);
-  const std::string forged = std::string("\x01\x02k1", 4) +
-                             std::string(200, 'x');
+  const std::string forged =
+    std::string("\x01\x02k1", 4) + std::string(200, 'x');
   for (int i = 0; i < 10; ++i) {
     socket.send_to(boost::asio::buffer(forged), target);
   }
   EXPECT_TRUE(Await(
     [&] {
-      return CounterAt(
-               fleet, 0, "peer_messages_dropped_total{reason=\"bad-digest\"}") ==
+      return CounterAt(fleet,
+                       0,
+                       "peer_messages_dropped_total{reason=\"bad-digest\"}") ==
              10;
     },
     Seconds(5)));
