--- a/include/magnoliatide/claims/register.h
+++ b/include/magnoliatide/claims/register.h
@@ -112,6 +112,10 @@
                           bool aAccepting,
                           const wire::Ballot& aBallot,
                           const Electorate& aElectorate) const;
+  template<typename Request>
+  Epoch* OpenEpoch(const Request& aRequest,
+                   const Electorate& aElectorate,
+                   TimePoint aNow);
   bool ReadyAmong(const std::vector<std::string>& aSlots) const;
   void Note(const std::string& aSlot, const wire::Incarnation& aIncarnation);
   void Merge(const wire::CopiedKey& aKey, TimePoint aNow);
--- a/include/magnoliatide/document/document.h
+++ b/include/magnoliatide/document/document.h
@@ -95,6 +95,7 @@
   int slots = 8;              ///< First limit of requests in progress.
   int maxSlots = 64;          ///< Upper bound of the learned limit.
   bool checksFencing = false; ///< Refuses orders with an old generation.
+  bool managed = false;       ///< Takes orders from the system.
   std::vector<std::string> environments; ///< Empty: all.
 };
 
--- a/include/magnoliatide/policy/backend_book.h
+++ b/include/magnoliatide/policy/backend_book.h
@@ -80,6 +80,14 @@
   Duration probeInterval = Seconds(2); ///< Between tries of a straggler.
 };
 
+/// The server chosen for a request, or why there is none.
+struct Choice
+{
+  std::string backend; ///< Empty: none.
+  /// Whether a server had room, so that only the deadline stood against it.
+  bool hadRoom = false;
+};
+
 class BackendBook
 {
 public:
@@ -103,13 +111,19 @@
   /// Returns whether any backend server could ever run a request.
   bool AnyFits(const Work& aWork) const;
 
-  /// Chooses a backend server with room for a request now.
+  /// Returns whether every server of the service could run a request, so
+  /// that no other request fits where it does not.
+  bool FitsAll(const Work& aWork);
+
+  /// Chooses a backend server with room that can meet the deadline.
   ///
   /// @param aAlone Whether the request must share the server with no other
   ///     request of this VM.
-  std::optional<std::string> Choose(const Work& aWork,
-                                    bool aAlone,
-                                    TimePoint aNow);
+  /// @param aOnly The only server to look at; empty for all.
+  Choice Choose(const Work& aWork,
+                bool aAlone,
+                TimePoint aNow,
+                const std::string& aOnly = "");
 
   /// Notes that a request was given to a backend server.
   void Started(const std::string& aName,
@@ -130,8 +144,9 @@
   std::vector<BackendLoad> TakeLoads(const std::string& aService,
                                      const std::string& aZone);
 
-  /// Returns the shortest time a request could take from start to end.
-  Duration ShortestRun(const Work& aWork) const;
+  /// Returns the shortest time a request could take from start to end; zero
+  /// where no speed was measured yet.
+  Duration ShortestRun(const Work& aWork, TimePoint aNow);
 
   /// Returns the number of requests that a service's servers can run at once
   /// for this VM.
@@ -148,10 +163,13 @@
     int samples = 0;
   };
 
+  struct Pool;
+
   struct State
   {
     document::BackendServer config;
     const document::Service* service = nullptr;
+    Pool* pool = nullptr;
     Speed speed;
     bool leaving = false;
     int granted = -1;
@@ -172,10 +190,30 @@
 
   using Fitting = std::vector<State*>;
 
+  /// The backend servers of one service.
+  struct Pool
+  {
+    Fitting states;
+    double medianTokenTime = 0; ///< 0 before a sample.
+    double bestTokenTime = 0;   ///< 0 before a sample.
+    TimePoint judged{}; ///< When the best were looked up.
+    /// Answers of FitsAll() by model and adapter, until servers change.
+    std::map<std::string, bool> fitsAll;
+  };
+
   bool Fits(const State& aState, const Work& aWork) const;
   int CapNow(const State& aState, TimePoint aNow) const;
+  bool Consider(State& aState,
+                const Work& aWork,
+                bool aAlone,
+                TimePoint aNow,
+                Fitting& aCandidates) const;
   bool HasRoom(const State& aState, bool aAlone, TimePoint aNow) const;
   bool IsStraggler(const State& aState) const;
+  bool MeetsDeadline(const State& aState,
+                     const Work& aWork,
+                     TimePoint aNow) const;
+  static void Judge(Pool& aPool, TimePoint aNow);
   double HitTokens(const State& aState, const Work& aWork) const;
   double Predict(const State& aState, const Work& aWork) const;
   State* Pick(const Fitting& aStates, const Work& aWork);
@@ -183,15 +221,14 @@
   void AdjustCap(State& aState, const RunReport& aReport, TimePoint aNow);
   void NoteFailure(State& aState, TimePoint aNow);
   void RememberPrefix(State& aState, const Work& aWork);
-  double MedianTokenTime(const std::string& aService) const;
+  static double MedianTokenTime(const Pool& aPool);
 
   BookOptions mOptions;
   std::mt19937_64 mRandom;
   std::shared_ptr<const document::Document> mDocument;
   std::map<std::string, State> mStates;
-  /// Service to its states; rebuilt with the document.
-  std::unordered_map<std::string, Fitting> mByService;
-  std::unordered_map<std::string, double> mMedians;
+  /// Service to its servers; rebuilt with the document.
+  std::unordered_map<std::string, Pool> mPools;
   std::set<std::string> mLeaving;
   int mSharers = 1;
   std::uint64_t mTurn = 0;
--- a/include/magnoliatide/policy/scheduler.h
+++ b/include/magnoliatide/policy/scheduler.h
@@ -120,6 +120,10 @@
     TimePoint floorUntil{}; ///< Until when floorTier holds.
     int shedTier = -1;      ///< Highest tier that this VM shed lately, or -1.
     TimePoint shedUntil{};  ///< Until when shedTier holds.
+    bool full = false;      ///< No server has room; see ForgetFull().
+    /// The only server that can have room, as all others were full when a
+    /// request ended there; empty where any can.
+    std::string onlyRoom;
     double startedCost = 0; ///< Decaying sum of started cost.
     TimePoint rateUpdated{};
     TimePoint busySince{};
@@ -136,7 +140,9 @@
   TeamState& TeamOf(const std::string& aTeam);
   bool AdmitTeam(const Work& aWork, TimePoint aNow, Decisions& aOut);
   void Admit(const Work& aWork, TimePoint aNow, Decisions& aOut);
-  bool StartNow(const Work& aWork, TimePoint aNow, Decisions& aOut);
+  Fit StartNow(const Work& aWork, TimePoint aNow, Decisions& aOut);
+  Work Sized(const Work& aWork) const;
+  void LearnOutput(const Work& aWork, const RunReport& aReport);
   void MakeRoom(ServiceState& aState,
                 const Work& aWork,
                 TimePoint aNow,
@@ -160,6 +166,8 @@
   bool NeedsAlone(const Work& aWork, TimePoint aNow) const;
   Duration PredictWait(ServiceState& aState, const Work& aWork, TimePoint aNow);
   void NoteStarted(ServiceState& aState, const Work& aWork, TimePoint aNow);
+  void ForgetFull();
+  void NoteRoomAt(const Running& aRunning);
   Duration SpreadRetry(Duration aBase);
   void Release(const Work& aWork);
 
@@ -174,6 +182,8 @@
   std::unordered_map<std::string, document::Team> mTeamConfigs;
   /// Holds exactly the requests that were started and have not ended.
   std::unordered_map<RequestId, Running> mRunning;
+  /// Kind to the part of the tokens asked for that answers have.
+  std::unordered_map<std::string, double> mOutputShares;
   /// When each server was last seen to crash.
   std::unordered_map<std::string, TimePoint> mCrashes;
   SchedulerCounters mCounters;
--- a/include/magnoliatide/policy/wait_queue.h
+++ b/include/magnoliatide/policy/wait_queue.h
@@ -15,17 +15,27 @@
 
 namespace magnoliatide::policy {
 
+/// What a test says of a waiting request.
+enum class Fit
+{
+  kStarts, ///< It starts now.
+  kWaits,  ///< It cannot start now; others may.
+  kStop,   ///< Nothing can start now.
+};
+
 class WaitQueue
 {
 public:
   /// Adds a request behind its team's others of the same kind.
-  void Push(const Work& aWork);
+  ///
+  /// @param aLatestStart The time from which it is too late to start it.
+  void Push(const Work& aWork, TimePoint aLatestStart);
 
   /// Takes the first request, in service order, that the test accepts. Each
   /// team offers its oldest request only.
   ///
   /// @param aFits Returns whether a request can start now.
-  std::optional<Work> Pop(const std::function<bool(const Work&)>& aFits);
+  std::optional<Work> Pop(const std::function<Fit(const Work&)>& aFits);
 
   /// Removes a request. Returns it, or nothing if it does not wait here.
   std::optional<Work> Remove(RequestId aId);
@@ -39,7 +49,7 @@
   /// Returns the requests of tiers lower than the given one.
   std::vector<RequestId> Below(int aTier) const;
 
-  /// Returns the requests whose deadlines have passed.
+  /// Returns the requests that it is too late to start.
   std::vector<RequestId> Expired(TimePoint aNow) const;
 
   std::size_t size() const { return mItems.size(); }
@@ -80,18 +90,20 @@
   {
     Work work;
     double cost = 0;
+    TimePoint latestStart;
   };
 
   std::optional<Work> PopFromTier(
     TierLine& aTier,
-    const std::function<bool(const Work&)>& aFits);
+    const std::function<Fit(const Work&)>& aFits,
+    bool& aStop);
   Work Take(RequestId aId, bool aCharge);
 
   /// Holds every waiting request; the lines hold the same ids.
   std::unordered_map<RequestId, Item> mItems;
   std::map<int, TierLine> mTiers;
-  /// Holds every waiting request by deadline.
-  std::set<std::pair<TimePoint, RequestId>> mDeadlines;
+  /// Holds every waiting request by its latest start.
+  std::set<std::pair<TimePoint, RequestId>> mLatestStarts;
 };
 
 } // namespace magnoliatide::policy
--- a/load/experiment.cpp
+++ b/load/experiment.cpp
@@ -105,14 +105,6 @@
   }
 }
 
-/// Folder of this program's build, from which the others start.
-std::string
-BuildFolder()
-{
-  const auto self = std::filesystem::read_symlink("/proc/self/exe");
-  return self.parent_path().parent_path().string();
-}
-
 std::string
 JoinLines(const std::vector<std::string>& aLines)
 {
@@ -294,6 +286,13 @@
 
 } // namespace
 
+std::string
+BuildFolder()
+{
+  const auto self = std::filesystem::read_symlink("/proc/self/exe");
+  return self.parent_path().parent_path().string();
+}
+
 leaf::result<Experiment>
 ReadExperiment(const std::string& aPath)
 {
--- a/load/experiment.h
+++ b/load/experiment.h
@@ -51,6 +51,10 @@
   double controlBytesPerSecond = 0; ///< Mean for each VM.
 };
 
+/// Returns the folder of this program's build, where the others are.
+std::string
+BuildFolder();
+
 /// Reads an experiment.
 leaf::result<Experiment>
 ReadExperiment(const std::string& aPath);
--- a/load/fleet.cpp
+++ b/load/fleet.cpp
@@ -178,6 +178,9 @@
     if (group.checksFencing) {
       text += "checks-fencing = yes\n";
     }
+    if (group.managed) {
+      text += "managed = yes\n";
+    }
   }
   return text;
 }
--- a/load/fleet.h
+++ b/load/fleet.h
@@ -31,6 +31,7 @@
   std::string models = "small";
   Duration delay = Milliseconds(5); ///< Of a plain call.
   bool checksFencing = false;
+  bool managed = false;
 };
 
 struct FleetOptions
--- a/load/main.cpp
+++ b/load/main.cpp
@@ -1,14 +1,25 @@
 // The load and experiment program.
 #include "experiment.h"
+#include "latency.h"
 #include "report.h"
+#include "scale.h"
+
+#include "magnoliatide/document/ini.h"
 
 #include <gflags/gflags.h>
 
+#include <filesystem>
 #include <iostream>
 
-DEFINE_uint64(seed, 1, "fixes arrivals, lengths and prompts");
+DEFINE_uint64(seed, 1, "fixes arrivals, lengths and prompts (run)");
 DEFINE_bool(json, false, "print JSON instead of a table");
-DEFINE_string(plot, "", "write a plot to this SVG file");
+DEFINE_string(plot, "", "write a plot to this SVG file (run)");
+DEFINE_string(vms, "2,4,8,16", "numbers of VMs (scale)");
+DEFINE_string(teams, "5", "numbers of teams (scale)");
+DEFINE_string(engines, "12", "numbers of engines in the document (scale)");
+DEFINE_int32(pairs, 2000, "paired calls (latency)");
+DEFINE_int32(connections, 64, "connections at once (latency)");
+DEFINE_int32(trials, 5, "trials of a change and of a killed VM (scale)");
 
 namespace magnoliatide::load {
 namespace {
@@ -41,23 +52,82 @@
   return passed ? 0 : 1;
 }
 
+std::vector<int>
+Numbers(const std::string& aText)
+{
+  std::vector<int> numbers;
+  for (const auto& item : document::SplitList(aText)) {
+    numbers.push_back(std::atoi(item.c_str()));
+  }
+  return numbers;
+}
+
+std::string
+ScratchFolder(const std::string& aName)
+{
+  return std::filesystem::temp_directory_path().string() + "/magnoliatide-" +
+         aName + "-" + std::to_string(getpid());
+}
+
+int
+Latency()
+{
+  PrintLatency(std::cout,
+               MeasureLatency(BuildFolder(),
+                              ScratchFolder("latency"),
+                              FLAGS_pairs,
+                              FLAGS_connections,
+                              Seconds(5)));
+  return 0;
+}
+
+int
+Scale()
+{
+  ScaleOptions options;
+  options.binaries = BuildFolder();
+  options.folder = ScratchFolder("scale");
+  options.trials = FLAGS_trials;
+  std::vector<ScaleRow> rows;
+  for (const int vms : Numbers(FLAGS_vms)) {
+    for (const int teams : Numbers(FLAGS_teams)) {
+      for (const int engines : Numbers(FLAGS_engines)) {
+        std::cerr << "measuring " << vms << " VMs, " << teams << " teams, "
+                  << engines << " engines\n";
+        rows.push_back(MeasureScale({ vms, teams, engines }, options));
+      }
+    }
+  }
+  PrintScale(std::cout, rows, FLAGS_json);
+  return 0;
+}
+
 } // namespace
 } // namespace magnoliatide::load
 
 int
 main(int aCount, char** aWords)
 {
-  gflags::SetUsageMessage("magnoliatide-load run FILE [--seed N] [--json] "
-                          "[--plot FILE.svg]");
+  gflags::SetUsageMessage(
+    "magnoliatide-load run FILE [--seed N] [--json] [--plot FILE.svg]\n"
+    "magnoliatide-load latency [--pairs N] [--connections N]\n"
+    "magnoliatide-load scale [--vms N,N] [--teams N,N] [--engines N,N]");
   gflags::ParseCommandLineFlags(&aCount, &aWords, true);
-  if (aCount != 3 || std::string(aWords[1]) != "run") {
-    std::cerr << gflags::ProgramUsage() << "\n";
-    return 2;
-  }
+  const std::string command = aCount > 1 ? aWords[1] : "";
   try {
-    return magnoliatide::load::Run(aWords[2]);
+    if (command == "run" && aCount == 3) {
+      return magnoliatide::load::Run(aWords[2]);
+    }
+    if (command == "latency" && aCount == 2) {
+      return magnoliatide::load::Latency();
+    }
+    if (command == "scale" && aCount == 2) {
+      return magnoliatide::load::Scale();
+    }
   } catch (const std::exception& error) {
     std::cerr << "magnoliatide-load: " << error.what() << "\n";
     return 1;
   }
+  std::cerr << gflags::ProgramUsage() << "\n";
+  return 2;
 }
--- a/packaging/magnoliatide.bash
+++ b/packaging/magnoliatide.bash
@@ -0,0 +1,15 @@
+# Completion of magnoliatide's commands and flags for bash.
+_magnoliatide()
+{
+  local word="${COMP_WORDS[COMP_CWORD]}"
+  local commands="serve check diff promote status audit version"
+  local flags="--settings --json --vms --token_file --target --generation"
+  if [ "$COMP_CWORD" -eq 1 ]; then
+    mapfile -t COMPREPLY < <(compgen -W "$commands" -- "$word")
+  elif [[ "$word" == -* ]]; then
+    mapfile -t COMPREPLY < <(compgen -W "$flags" -- "$word")
+  else
+    mapfile -t COMPREPLY < <(compgen -f -- "$word")
+  fi
+}
+complete -F _magnoliatide magnoliatide
--- a/src/claims/register.cpp
+++ b/src/claims/register.cpp
@@ -39,32 +39,44 @@
   return vote;
 }
 
+/// Returns the state of a key's epoch, or null if this elector abstains.
+template<typename Request>
+Register::Epoch*
+Register::OpenEpoch(const Request& aRequest,
+                    const Electorate& aElectorate,
+                    TimePoint aNow)
+{
+  if (aRequest.electorate != aElectorate.Hash() ||
+      !Ready(aElectorate, aNow)) {
+    return nullptr;
+  }
+  const auto [at, fresh] = mKeys.try_emplace(aRequest.key);
+  if (fresh) {
+    at->second.firstSeen = aNow;
+  }
+  return &at->second.epochs[aRequest.epoch];
+}
+
 wire::ClaimVote
 Register::Handle(const wire::ClaimPrepare& aRequest,
                  const Electorate& aElectorate,
                  TimePoint aNow)
 {
-  auto vote = NewVote(aRequest.proposal, false, aRequest.ballot, aElectorate);
-  if (aRequest.electorate != aElectorate.Hash() || !Ready(aElectorate, aNow)) {
+  auto vote =
+    NewVote(aRequest.proposal, false, aRequest.ballot, aElectorate);
+  auto* epoch = OpenEpoch(aRequest, aElectorate, aNow);
+  if (epoch == nullptr) {
     return vote;
   }
-  const auto [at, fresh] = mKeys.try_emplace(aRequest.key);
-  if (fresh) {
-    at->second.firstSeen = aNow;
-  }
-  auto& epoch = at->second.epochs[aRequest.epoch];
-  if (aRequest.ballot < epoch.promised) {
-    vote.vote = wire::Vote::kNo;
-  } else {
-    vote.vote = wire::Vote::kYes;
-    epoch.promised = aRequest.ballot;
-  }
-  vote.promised = epoch.promised;
-  vote.hasAccepted = epoch.hasAccepted;
-  vote.acceptedBallot = epoch.acceptedBallot;
-  vote.accepted = epoch.accepted;
-  vote.outcome = epoch.outcome;
-  vote.answer = epoch.answer;
+  const bool overtaken = aRequest.ballot < epoch->promised;
+  vote.vote = overtaken ? wire::Vote::kNo : wire::Vote::kYes;
+  epoch->promised = std::max(epoch->promised, aRequest.ballot);
+  vote.promised = epoch->promised;
+  vote.hasAccepted = epoch->hasAccepted;
+  vote.acceptedBallot = epoch->acceptedBallot;
+  vote.accepted = epoch->accepted;
+  vote.outcome = epoch->outcome;
+  vote.answer = epoch->answer;
   return vote;
 }
 
@@ -74,25 +86,21 @@
                  TimePoint aNow)
 {
   auto vote = NewVote(aRequest.proposal, true, aRequest.ballot, aElectorate);
-  if (aRequest.electorate != aElectorate.Hash() || !Ready(aElectorate, aNow)) {
+  auto* epoch = OpenEpoch(aRequest, aElectorate, aNow);
+  if (epoch == nullptr) {
     return vote;
   }
-  const auto [at, fresh] = mKeys.try_emplace(aRequest.key);
-  if (fresh) {
-    at->second.firstSeen = aNow;
-  }
-  auto& epoch = at->second.epochs[aRequest.epoch];
-  if (aRequest.ballot < epoch.promised) {
+  if (aRequest.ballot < epoch->promised) {
     vote.vote = wire::Vote::kNo;
-    vote.promised = epoch.promised;
+    vote.promised = epoch->promised;
     return vote;
   }
-  epoch.promised = aRequest.ballot;
-  epoch.hasAccepted = true;
-  epoch.acceptedBallot = aRequest.ballot;
-  epoch.accepted = aRequest.owner;
+  epoch->promised = aRequest.ballot;
+  epoch->hasAccepted = true;
+  epoch->acceptedBallot = aRequest.ballot;
+  epoch->accepted = aRequest.owner;
   vote.vote = wire::Vote::kYes;
-  vote.promised = epoch.promised;
+  vote.promised = epoch->promised;
   return vote;
 }
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,7 +1,10 @@
 // Dispatch of commands.
 #include "magnoliatide/cli/commands.h"
 
-#include "magnoliatide/core/fault.h"
+#include "document_commands.h"
+#include "fleet_commands.h"
+#include "options.h"
+
 #include "magnoliatide/document/settings.h"
 #include "magnoliatide/node/vm.h"
 #include "magnoliatide/telemetry/log.h"
@@ -16,6 +19,11 @@
 #include <vector>
 
 DEFINE_string(settings, "", "settings file of the VM (serve)");
+DEFINE_bool(json, false, "print JSON for programs");
+DEFINE_string(vms, "", "admin addresses of VMs, IP:PORT,IP:PORT,...");
+DEFINE_string(token_file, "", "file that holds the operators' token");
+DEFINE_string(target, "production", "environment to promote to");
+DEFINE_uint64(generation, 0, "generation of the promoted document");
 
 namespace magnoliatide::cli {
 
@@ -23,19 +31,28 @@
 
 constexpr char kUsage[] =
   "magnoliatide COMMAND [FLAGS]\n"
-  "  serve --settings FILE   serve requests until a termination signal\n"
-  "  version                 print the version\n";
+  "\n"
+  "  serve --settings FILE      serve requests until a termination signal\n"
+  "  check FILE...              report every error of documents\n"
+  "  diff FROM TO               tell what a change of document does\n"
+  "  promote TRIAL --target ENVIRONMENT --generation N\n"
+  "          --vms ADDRESSES --token_file FILE\n"
+  "                             print the document for another environment;\n"
+  "                             refused unless TRIAL is in force on the VMs\n"
+  "  status --vms ADDRESSES --token_file FILE\n"
+  "                             show what the VMs have in force\n"
+  "  audit --vms ADDRESSES --token_file FILE\n"
+  "                             show the merged audit trails\n"
+  "  version                    print the version\n"
+  "\n"
+  "Flags: --json for programs.\n"
+  "Exit codes: 0 done, 1 errors in a document or settings file, 2 wrong\n"
+  "command line, 3 a VM did not answer, 4 refused.\n";
 
-void
-PrintFaults(const std::vector<Fault>& aFaults)
-{
-  for (const auto& fault : aFaults) {
-    std::cerr << Describe(fault) << "\n";
-  }
-}
+using Words = std::vector<std::string>;
 
 ExitCode
-Serve()
+Serve(const Words&)
 {
   std::vector<Fault> faults;
   const auto settings = ValueOrFaults(
@@ -45,7 +62,7 @@
     },
     faults);
   if (!faults.empty()) {
-    PrintFaults(faults);
+    PrintFaults(faults, FLAGS_json);
     return ExitCode::kFaults;
   }
   telemetry::StartLog(settings.logLevel, settings.slot);
@@ -60,20 +77,84 @@
   return ExitCode::kDone;
 }
 
+ExitCode
+Version(const Words&)
+{
+  std::cout << "magnoliatide " << MAGNOLIATIDE_VERSION << "\n";
+  return ExitCode::kDone;
+}
+
+FleetOptions
+FleetFromFlags()
+{
+  return { FLAGS_vms, FLAGS_token_file, FLAGS_json };
+}
+
+ExitCode
+Check(const Words& aFiles)
+{
+  return CheckDocuments(aFiles, FLAGS_json);
+}
+
+ExitCode
+Diff(const Words& aFiles)
+{
+  return DiffDocuments(aFiles[0], aFiles[1], FLAGS_json);
+}
+
+ExitCode
+Promote(const Words& aFiles)
+{
+  return PromoteDocument(
+    aFiles[0], FLAGS_target, FLAGS_generation, FleetFromFlags());
+}
+
+ExitCode
+Status(const Words&)
+{
+  return ShowStatus(FleetFromFlags());
+}
+
+ExitCode
+Audit(const Words&)
+{
+  return ShowAudit(FleetFromFlags());
+}
+
+struct Command
+{
+  const char* name;
+  std::size_t leastWords;
+  std::size_t mostWords;
+  ExitCode (*run)(const Words&);
+};
+
+constexpr Command kCommands[] = {
+  { "serve", 0, 0, Serve },     { "check", 1, 100, Check },
+  { "diff", 2, 2, Diff },       { "promote", 1, 1, Promote },
+  { "status", 0, 0, Status },   { "audit", 0, 0, Audit },
+  { "version", 0, 0, Version },
+};
+
 } // namespace
 
 ExitCode
 RunCommand(int aCount, char** aWords)
 {
   gflags::SetUsageMessage(kUsage);
+  gflags::SetVersionString(MAGNOLIATIDE_VERSION);
   gflags::ParseCommandLineFlags(&aCount, &aWords, true);
-  const std::string command = aCount > 1 ? aWords[1] : "";
-  if (command == "serve") {
-    return Serve();
+  const std::string name = aCount > 1 ? aWords[1] : "";
+  Words words;
+  for (int i = 2; i < aCount; ++i) {
+    words.push_back(aWords[i]);
   }
-  if (command == "version") {
-    std::cout << "magnoliatide " << MAGNOLIATIDE_VERSION << "\n";
-    return ExitCode::kDone;
+  for (const auto& command : kCommands) {
+    const bool fits = words.size() >= command.leastWords &&
+                      words.size() <= command.mostWords;
+    if (name == command.name && fits) {
+      return command.run(words);
+    }
   }
   std::cerr << kUsage;
   return ExitCode::kUsage;
--- /dev/null
+++ b/src/core/rcu_cell_test.cpp
@@ -0,0 +1,48 @@
+// Readers of a cell see whole values while writers replace them.
+#include "magnoliatide/core/rcu_cell.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+namespace magnoliatide {
+namespace {
+
+struct Pair
+{
+  int left = 0;
+  int right = 0;
+};
+
+TEST(RcuCell, ReadersSeeWholeValues)
+{
+  constexpr int kWrites = 2000;
+  RcuCell<Pair> cell(std::make_shared<Pair>());
+  std::atomic<bool> done{ false };
+  std::atomic<int> torn{ 0 };
+  std::vector<std::thread> readers;
+  for (int i = 0; i < 3; ++i) {
+    readers.emplace_back([&] {
+      int last = 0;
+      while (!done.load()) {
+        const auto value = cell.Load();
+        torn += value->left != value->right || value->left < last ? 1 : 0;
+        last = value->left;
+      }
+    });
+  }
+  for (int i = 1; i <= kWrites; ++i) {
+    cell.Store(std::make_shared<Pair>(Pair{ i, i }));
+  }
+  done.store(true);
+  for (auto& reader : readers) {
+    reader.join();
+  }
+  EXPECT_EQ(torn.load(), 0);
+  EXPECT_EQ(cell.Load()->left, kWrites);
+}
+
+} // namespace
+} // namespace magnoliatide
--- a/src/document/document.cpp
+++ b/src/document/document.cpp
@@ -81,6 +81,7 @@
   { "slots", &BackendServer::slots, false, 1, 1024 },
   { "max-slots", &BackendServer::maxSlots, false, 1, 4096 },
   { "checks-fencing", &BackendServer::checksFencing },
+  { "managed", &BackendServer::managed },
   { "environments", &BackendServer::environments },
 };
 
--- a/src/node/vm.cpp
+++ b/src/node/vm.cpp
@@ -4,6 +4,8 @@
 #include "admin_service.h"
 #include "claim_service.h"
 #include "config_service.h"
+#include "notice_service.h"
+#include "order_service.h"
 #include "peer_link.h"
 #include "slot_service.h"
 
@@ -31,7 +33,6 @@
 constexpr Duration kSyncBound = Seconds(2);
 constexpr Duration kJoinTime = Seconds(2);
 constexpr Duration kLameDuck = Seconds(1);
-constexpr std::uint64_t kListVersionStep = 256;
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
 policy::SchedulerOptions
@@ -112,6 +113,8 @@
     , mClaims(PartsForClaims())
     , mSlots(PartsForSlots())
     , mConfig(PartsForConfig())
+    , mOrders(PartsForOrders())
+    , mNotices(PartsForNotices())
     , mGateway(PartsForGateway())
     , mAdmin(PartsForAdmin())
   {
@@ -193,6 +196,33 @@
     return parts;
   }
 
+  OrderServiceParts PartsForOrders()
+  {
+    OrderServiceParts parts;
+    parts.loop = &mControl.At(0);
+    parts.metrics = &mMetrics;
+    parts.audit = &mAudit;
+    parts.document = &mDocument;
+    parts.slot = mSettings.slot;
+    parts.localHost = mSettings.peerBind.host;
+    parts.live = [this] { return mMembers.Live(); };
+    return parts;
+  }
+
+  NoticeServiceParts PartsForNotices()
+  {
+    NoticeServiceParts parts;
+    parts.members = &mMembers;
+    parts.scheduler = &mScheduler;
+    parts.audit = &mAudit;
+    parts.document = &mDocument;
+    parts.push = [this] {
+      SendAll(mMembers.Push(Clock::now()));
+      TakeMemberEvents();
+    };
+    return parts;
+  }
+
   entry::GatewayParts PartsForGateway()
   {
     entry::GatewayParts parts;
@@ -204,11 +234,12 @@
     parts.idPrefix = ToHex(mProcess);
     parts.ready = [this] { return mReady.load(); };
     parts.onLeaving = [this](const std::string& aName) {
-      asio::post(mControl.At(0), [this, aName] { NoteLeaving(aName); });
+      asio::post(mControl.At(0),
+                 [this, aName] { mNotices.NoteLeaving(aName); });
     };
     parts.onSuspects = [this](std::vector<policy::SuspectEntry> aEntries) {
       asio::post(mControl.At(0), [this, entries = std::move(aEntries)] {
-        SpreadSuspects(entries);
+        mNotices.SpreadSuspects(entries);
       });
     };
     parts.onCrash = [this](const std::string& aName) {
@@ -229,7 +260,7 @@
     parts.members = [this] { return mMembers.All(); };
     parts.claimsComplete = [this] { return mClaims.Complete(); };
     parts.claimKeys = [this] { return mClaims.Keys(); };
-    parts.leaving = [this] { return mLeaving; };
+    parts.leaving = [this] { return mNotices.Leaving(); };
     return parts;
   }
 
@@ -264,6 +295,7 @@
       });
     mConfig.Start();
     mClaims.Start();
+    mOrders.Start();
     asio::co_spawn(mControl.At(0), TickLoop(), asio::detached);
     asio::co_spawn(mControl.At(0), SyncLoop(), asio::detached);
   }
@@ -382,9 +414,7 @@
       mScheduler.SetSharers(static_cast<int>(mMembers.Live().size()));
       mSlots.MembersChanged();
     }
-    for (const auto& rumour : mMembers.TakeNews()) {
-      TakeRumour(rumour);
-    }
+    mNotices.TakeNews();
     if (mMembers.TakeWoke()) {
       mAudit.Add("vm", "paused", "awake", "a step of time was too long");
       mSlots.DropGrants();
@@ -396,82 +426,12 @@
     }
   }
 
-  void TakeRumour(const wire::Rumour& aRumour)
-  {
-    if (aRumour.kind == wire::RumourKind::kSuspect) {
-      const policy::SuspectEntry entry{
-        std::strtoull(aRumour.key.c_str(), nullptr, 16),
-        static_cast<policy::Suspicion>(std::atoi(aRumour.value.c_str()))
-      };
-      mScheduler.MergeSuspect(entry, Clock::now());
-      return;
-    }
-    const auto name = aRumour.key.substr(0, aRumour.key.find('@'));
-    if (aRumour.value == "leaving" && mLeaving.insert(aRumour.key).second) {
-      mAudit.Add("backend " + name, "serving", "leaving", "notice");
-    } else if (aRumour.value == "serving" && mLeaving.erase(aRumour.key) > 0) {
-      mAudit.Add("backend " + name, "leaving", "serving", "notice");
-    }
-    ApplyLeaving();
-  }
-
-  /// A notice holds for a name and address, so that a server that comes back
-  /// elsewhere under its old name is not taken to be leaving.
-  void ApplyLeaving()
-  {
-    const auto document = mDocument.Load();
-    if (!document) {
-      return;
-    }
-    std::set<std::string> names;
-    for (const auto& backend : document->backends) {
-      if (mLeaving.count(backend.name + "@" + backend.addressText) > 0) {
-        names.insert(backend.name);
-      }
-    }
-    mScheduler.SetLeaving(std::move(names));
-  }
-
-  void NoteLeaving(const std::string& aName)
-  {
-    const auto document = mDocument.Load();
-    const auto* backend = document ? document->FindBackend(aName) : nullptr;
-    if (backend == nullptr) {
-      return;
-    }
-    const auto key = aName + "@" + backend->addressText;
-    const auto* known =
-      mMembers.FindRumour(wire::RumourKind::kBackendState, key);
-    if (known != nullptr && known->value == "leaving") {
-      return;
-    }
-    const auto version = known == nullptr ? 1 : known->version + 1;
-    mMembers.Spread(
-      { wire::RumourKind::kBackendState, key, version, "leaving" });
-    SendAll(mMembers.Push(Clock::now()));
-    TakeMemberEvents();
-  }
-
-  void SpreadSuspects(const std::vector<policy::SuspectEntry>& aEntries)
-  {
-    for (const auto& entry : aEntries) {
-      const auto key = ToHex(entry.fingerprint);
-      const auto* known = mMembers.FindRumour(wire::RumourKind::kSuspect, key);
-      const auto version = known == nullptr ? 1 : known->version + 1;
-      const auto level = std::to_string(static_cast<int>(entry.level));
-      mMembers.Spread({ wire::RumourKind::kSuspect, key, version, level });
-      mAudit.Add("request " + key, "", "suspicion " + level, "crash seen");
-    }
-    SendAll(mMembers.Push(Clock::now()));
-    TakeMemberEvents();
-  }
-
   void TakeDocument(const document::Document& aDocument)
   {
     mScheduler.Apply(aDocument);
     mClaims.Configure(aDocument);
     mSlots.Configure(aDocument);
-    ApplyLeaving();
+    mNotices.ApplyLeaving();
     SendAll(mMembers.Push(Clock::now()));
   }
 
@@ -482,19 +442,7 @@
       seeds.push_back(document::Format(vm.peer));
     }
     mMembers.AddSeeds(seeds);
-    const auto document = mDocument.Load();
-    for (const auto& listed : aList.backends) {
-      const auto* backend =
-        document ? document->FindBackend(listed.name) : nullptr;
-      if (backend != nullptr) {
-        mMembers.Spread({ wire::RumourKind::kBackendState,
-                          listed.name + "@" + backend->addressText,
-                          aList.index * kListVersionStep,
-                          listed.leaving ? "leaving" : "serving" });
-      }
-    }
-    SendAll(mMembers.Push(Clock::now()));
-    TakeMemberEvents();
+    mNotices.TakeList(aList);
   }
 
   /// Exchanges everything with a peer whose rumours differ.
@@ -565,8 +513,8 @@
   ClaimService mClaims;
   SlotService mSlots;
   ConfigService mConfig;
-  /// Notices in force, as "name@address".
-  std::set<std::string> mLeaving;
+  OrderService mOrders;
+  NoticeService mNotices;
   bool mHeardPeer = false;
   bool mStepsAside = false;
   // End of the members of the control loop.
--- a/src/policy/backend_book.cpp
+++ b/src/policy/backend_book.cpp
@@ -16,6 +16,8 @@
 constexpr double kCapDecrease = 0.85;
 constexpr double kCrossZoneSeconds = 0.005;
 constexpr std::size_t kPrefixesHeld = 4096;
+constexpr std::size_t kMostCandidates = 16;
+constexpr Duration kJudgeInterval = Milliseconds(200);
 constexpr double kTokensPerPrefixBlock = 64;
 constexpr Duration kFirstDownTime = Milliseconds(500);
 constexpr Duration kLongestDownTime = Seconds(10);
@@ -62,9 +64,14 @@
     next.emplace(backend.name, std::move(state));
   }
   mStates = std::move(next);
-  mByService.clear();
+  mPools.clear();
   for (auto& [name, state] : mStates) {
-    mByService[state.config.service].push_back(&state);
+    auto& pool = mPools[state.config.service];
+    pool.states.push_back(&state);
+    state.pool = &pool;
+  }
+  for (auto& [service, pool] : mPools) {
+    pool.medianTokenTime = MedianTokenTime(pool);
   }
 }
 
@@ -80,6 +87,7 @@
   mLeaving = std::move(aNames);
   for (auto& [name, state] : mStates) {
     state.leaving = mLeaving.count(name) > 0;
+    state.pool->fitsAll.clear();
   }
 }
 
@@ -113,15 +121,34 @@
 bool
 BackendBook::AnyFits(const Work& aWork) const
 {
-  const auto found = mByService.find(aWork.service);
-  if (found == mByService.end()) {
+  const auto found = mPools.find(aWork.service);
+  if (found == mPools.end()) {
     return false;
   }
-  return std::any_of(found->second.begin(),
-                     found->second.end(),
+  return std::any_of(found->second.states.begin(),
+                     found->second.states.end(),
                      [&](const auto* aState) { return Fits(*aState, aWork); });
 }
 
+bool
+BackendBook::FitsAll(const Work& aWork)
+{
+  const auto found = mPools.find(aWork.service);
+  if (found == mPools.end()) {
+    return false;
+  }
+  auto& pool = found->second;
+  const auto [answer, fresh] =
+    pool.fitsAll.try_emplace(aWork.model + "\n" + aWork.adapter, false);
+  if (fresh) {
+    answer->second = std::all_of(
+      pool.states.begin(), pool.states.end(), [&](const auto* aState) {
+        return aState->leaving || Fits(*aState, aWork);
+      });
+  }
+  return answer->second;
+}
+
 int
 BackendBook::CapNow(const State& aState, TimePoint aNow) const
 {
@@ -137,22 +164,18 @@
 bool
 BackendBook::HasRoom(const State& aState, bool aAlone, TimePoint aNow) const
 {
-  if (aState.exclusive || aNow < aState.downUntil) {
-    return false;
-  }
-  if (aAlone && aState.inFlight > 0) {
+  if (aState.inFlight >= CapNow(aState, aNow) || aState.exclusive ||
+      aNow < aState.downUntil) {
     return false;
   }
   // After a failure a single request tells whether the server is back.
-  if (aState.failures > 0 && aState.inFlight > 0) {
+  const bool single = aAlone || aState.failures > 0;
+  if (single && aState.inFlight > 0) {
     return false;
   }
-  if (IsStraggler(aState) &&
-      (aState.inFlight > 0 ||
-       aNow - aState.lastProbe < mOptions.probeInterval)) {
-    return false;
-  }
-  return aState.inFlight < CapNow(aState, aNow);
+  const bool probing =
+    aState.inFlight > 0 || aNow - aState.lastProbe < mOptions.probeInterval;
+  return !(probing && IsStraggler(aState));
 }
 
 bool
@@ -163,10 +186,25 @@
     return false;
   }
   const double time = aState.speed.tokenTime;
-  const auto median = mMedians.find(aState.config.service);
-  const bool overMedian = median != mMedians.end() && median->second > 0 &&
-                          time > kStragglerOverMedian * median->second;
-  return overMedian || time > kStragglerOverOwn * aState.speed.bestTokenTime;
+  const double median = aState.pool->medianTokenTime;
+  return (median > 0 && time > kStragglerOverMedian * median) ||
+         time > kStragglerOverOwn * aState.speed.bestTokenTime;
+}
+
+bool
+BackendBook::MeetsDeadline(const State& aState,
+                           const Work& aWork,
+                           TimePoint aNow) const
+{
+  const auto& speed = aState.speed;
+  if (mOptions.rule != ChoiceRule::kPredicted || speed.samples == 0) {
+    return true;
+  }
+  const double prefill =
+    aState.prefillAhead + aWork.size.promptTokens - HitTokens(aState, aWork);
+  const double run = prefill / speed.prefillRate +
+                     aWork.size.outputTokens * speed.tokenTime;
+  return aNow + FromSeconds(run) <= aWork.deadline;
 }
 
 double
@@ -196,23 +234,56 @@
          aWork.size.outputTokens * speed.tokenTime * crowding;
 }
 
-std::optional<std::string>
-BackendBook::Choose(const Work& aWork, bool aAlone, TimePoint aNow)
+/// Adds a server to the candidates if it fits. Returns whether it had room.
+bool
+BackendBook::Consider(State& aState,
+                      const Work& aWork,
+                      bool aAlone,
+                      TimePoint aNow,
+                      Fitting& aCandidates) const
 {
-  const auto found = mByService.find(aWork.service);
-  if (found == mByService.end()) {
-    return std::nullopt;
-  }
-  Fitting room;
-  for (auto* state : found->second) {
-    if (Fits(*state, aWork) && HasRoom(*state, aAlone, aNow)) {
-      room.push_back(state);
-    }
+  if (!HasRoom(aState, aAlone, aNow) || !Fits(aState, aWork)) {
+    return false;
   }
-  if (room.empty()) {
-    return std::nullopt;
+  if (MeetsDeadline(aState, aWork, aNow)) {
+    aCandidates.push_back(&aState);
   }
-  return Pick(room, aWork)->config.name;
+  return true;
+}
+
+Choice
+BackendBook::Choose(const Work& aWork,
+                    bool aAlone,
+                    TimePoint aNow,
+                    const std::string& aOnly)
+{
+  Choice choice;
+  Fitting candidates;
+  const auto only = mStates.find(aOnly);
+  if (only != mStates.end()) {
+    choice.hadRoom = Consider(only->second, aWork, aAlone, aNow, candidates);
+    choice.backend = candidates.empty() ? "" : aOnly;
+    return choice;
+  }
+  const auto found = mPools.find(aWork.service);
+  if (found == mPools.end() || found->second.states.empty()) {
+    return choice;
+  }
+  const auto& states = found->second.states;
+  // Starting at a random place spreads equal predictions over the servers,
+  // and lets a bounded number of candidates stand for all.
+  const auto offset = mRandom() % states.size();
+  for (std::size_t i = 0;
+       i < states.size() && candidates.size() < kMostCandidates;
+       ++i) {
+    auto& state = *states[(i + offset) % states.size()];
+    const bool room = Consider(state, aWork, aAlone, aNow, candidates);
+    choice.hadRoom = choice.hadRoom || room;
+  }
+  if (!candidates.empty()) {
+    choice.backend = Pick(candidates, aWork)->config.name;
+  }
+  return choice;
 }
 
 BackendBook::State*
@@ -237,10 +308,7 @@
   }
   State* best = nullptr;
   double bestTime = 0;
-  // Starting at a random place spreads equal predictions over the servers.
-  const auto offset = mRandom() % count;
-  for (std::size_t i = 0; i < count; ++i) {
-    auto* state = aStates[(i + offset) % count];
+  for (auto* state : aStates) {
     const double time = Predict(*state, aWork);
     if (best == nullptr || time < bestTime) {
       best = state;
@@ -338,17 +406,16 @@
                             ? time
                             : std::min(speed.bestTokenTime * kBestDrift, time);
     speed.samples += 1;
-    auto& median = mMedians[aState.config.service];
-    median = MedianTokenTime(aState.config.service);
+    aState.pool->medianTokenTime = MedianTokenTime(*aState.pool);
   }
 }
 
 double
-BackendBook::MedianTokenTime(const std::string& aService) const
+BackendBook::MedianTokenTime(const Pool& aPool)
 {
   constexpr std::size_t kMostSampled = 31;
   std::vector<double> times;
-  const auto& states = mByService.at(aService);
+  const auto& states = aPool.states;
   const std::size_t step = 1 + states.size() / kMostSampled;
   for (std::size_t i = 0; i < states.size(); i += step) {
     if (states[i]->speed.samples > 0) {
@@ -409,11 +476,11 @@
 BackendBook::TakeLoads(const std::string& aService, const std::string& aZone)
 {
   std::vector<BackendLoad> loads;
-  const auto found = mByService.find(aService);
-  if (found == mByService.end()) {
+  const auto found = mPools.find(aService);
+  if (found == mPools.end()) {
     return loads;
   }
-  for (auto* state : found->second) {
+  for (auto* state : found->second.states) {
     if (state->config.zone != aZone) {
       continue;
     }
@@ -426,33 +493,51 @@
 }
 
 Duration
-BackendBook::ShortestRun(const Work& aWork) const
+BackendBook::ShortestRun(const Work& aWork, TimePoint aNow)
 {
-  const auto found = mByService.find(aWork.service);
-  if (found == mByService.end()) {
+  const auto found = mPools.find(aWork.service);
+  if (found == mPools.end() || mOptions.rule != ChoiceRule::kPredicted) {
     return Duration::zero();
   }
-  double best = -1;
-  for (const auto* state : found->second) {
-    if (!Fits(*state, aWork) || state->speed.samples == 0) {
-      continue;
+  auto& pool = found->second;
+  if (aNow - pool.judged >= kJudgeInterval) {
+    Judge(pool, aNow);
+  }
+  if (pool.bestTokenTime <= 0) {
+    return Duration::zero();
+  }
+  // Known prefixes may save the whole prefill.
+  return FromSeconds(aWork.size.outputTokens * pool.bestTokenTime);
+}
+
+void
+BackendBook::Judge(Pool& aPool, TimePoint aNow)
+{
+  aPool.judged = aNow;
+  aPool.bestTokenTime = 0;
+  for (const auto* state : aPool.states) {
+    const auto& speed = state->speed;
+    if (speed.samples == 0) {
+      // A server that was not measured may be faster than all others.
+      aPool.bestTokenTime = 0;
+      return;
     }
-    const double time = (aWork.size.promptTokens - HitTokens(*state, aWork)) /
-                        state->speed.prefillRate;
-    best = best < 0 ? time : std::min(best, time);
+    const bool first = aPool.bestTokenTime <= 0;
+    aPool.bestTokenTime = first
+                            ? speed.tokenTime
+                            : std::min(aPool.bestTokenTime, speed.tokenTime);
   }
-  return FromSeconds(std::max(0.0, best));
 }
 
 double
 BackendBook::Capacity(const std::string& aService, TimePoint aNow) const
 {
   double slots = 0;
-  const auto found = mByService.find(aService);
-  if (found == mByService.end()) {
+  const auto found = mPools.find(aService);
+  if (found == mPools.end()) {
     return slots;
   }
-  for (const auto* state : found->second) {
+  for (const auto* state : found->second.states) {
     const bool usable = !state->leaving && aNow >= state->downUntil;
     slots += usable ? CapNow(*state, aNow) : 0;
   }
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -13,6 +13,10 @@
 constexpr Duration kRateMemory = Seconds(2);
 constexpr Duration kLeastRetryAfter = Milliseconds(200);
 constexpr std::size_t kTeamsBeforeSweep = 256;
+/// Waiting requests tried in turn before a pass ends.
+constexpr int kMostTries = 16;
+constexpr double kShareGain = 0.05;
+constexpr double kLeastShare = 0.05;
 /// Time within which notices of a crash tell of the same one.
 constexpr Duration kOneCrash = Seconds(1);
 
@@ -37,6 +41,7 @@
 {
   std::lock_guard<std::mutex> lock(mMutex);
   mBook.Apply(aDocument);
+  ForgetFull();
   for (const auto& service : aDocument.services) {
     mServices[service.name].queueLimit = service.queueLimit;
   }
@@ -62,6 +67,7 @@
 {
   std::lock_guard<std::mutex> lock(mMutex);
   mBook.SetSharers(aVms);
+  ForgetFull();
 }
 
 void
@@ -69,6 +75,7 @@
 {
   std::lock_guard<std::mutex> lock(mMutex);
   mBook.SetLeaving(std::move(aNames));
+  ForgetFull();
 }
 
 void
@@ -76,6 +83,7 @@
 {
   std::lock_guard<std::mutex> lock(mMutex);
   mBook.SetGrant(aName, aSlots, aUntil);
+  ForgetFull();
 }
 
 Decisions
@@ -127,11 +135,56 @@
   mCounters.submitted += 1;
   mRetryTokens = std::min(kMostRetryTokens, mRetryTokens + kRetryShare);
   if (AdmitTeam(aWork, aNow, out)) {
-    Admit(aWork, aNow, out);
+    Admit(Sized(aWork), aNow, out);
   }
   return out;
 }
 
+Work
+Scheduler::Sized(const Work& aWork) const
+{
+  Work work = aWork;
+  const auto share = mOutputShares.find(aWork.kind);
+  if (share != mOutputShares.end()) {
+    work.size.outputTokens *= share->second;
+  }
+  return work;
+}
+
+void
+Scheduler::LearnOutput(const Work& aWork, const RunReport& aReport)
+{
+  const auto [share, fresh] = mOutputShares.try_emplace(aWork.kind, 1.0);
+  const double asked = aWork.size.outputTokens / share->second;
+  if (aReport.outputTokens <= 0 || asked <= 0) {
+    return;
+  }
+  const double part = std::min(1.0, aReport.outputTokens / asked);
+  share->second += (part - share->second) * kShareGain;
+  share->second = std::max(share->second, kLeastShare);
+}
+
+void
+Scheduler::ForgetFull()
+{
+  for (auto& [name, state] : mServices) {
+    state.full = false;
+    state.onlyRoom.clear();
+  }
+}
+
+void
+Scheduler::NoteRoomAt(const Running& aRunning)
+{
+  auto& state = StateOf(aRunning.work.service);
+  if (state.full) {
+    state.onlyRoom = aRunning.backend;
+  } else if (state.onlyRoom != aRunning.backend) {
+    state.onlyRoom.clear();
+  }
+  state.full = false;
+}
+
 bool
 Scheduler::AdmitTeam(const Work& aWork, TimePoint aNow, Decisions& aOut)
 {
@@ -167,7 +220,7 @@
   }
   Expire(state, aNow, aOut);
   const bool nobodyAhead = state.queue.CostAhead(aWork.tier) == 0;
-  if (nobodyAhead && StartNow(aWork, aNow, aOut)) {
+  if (nobodyAhead && StartNow(aWork, aNow, aOut) == Fit::kStarts) {
     return;
   }
   const bool floored = aNow < state.floorUntil && state.floorTier >= 0 &&
@@ -178,7 +231,7 @@
   }
   if (mOptions.queueRule == QueueRule::kTieredFair) {
     const Duration least =
-      PredictWait(state, aWork, aNow) + mBook.ShortestRun(aWork);
+      PredictWait(state, aWork, aNow) + mBook.ShortestRun(aWork, aNow);
     if (aNow + least > aWork.deadline) {
       Shed(state, aWork, DropReason::kTooLate, aNow, aOut);
       return;
@@ -204,24 +257,32 @@
     const auto removed = aState.queue.Remove(victim->id);
     Shed(aState, *removed, DropReason::kDisplaced, aNow, aOut);
   }
-  aState.queue.Push(aWork);
+  aState.queue.Push(aWork,
+                    aWork.deadline - mBook.ShortestRun(aWork, aNow));
   Pump(aWork.service, aNow, aOut);
 }
 
-bool
+Fit
 Scheduler::StartNow(const Work& aWork, TimePoint aNow, Decisions& aOut)
 {
-  const bool alone = NeedsAlone(aWork, aNow);
-  const auto backend = mBook.Choose(aWork, alone, aNow);
-  if (!backend) {
-    return false;
+  auto& state = StateOf(aWork.service);
+  if (state.full) {
+    return Fit::kStop;
   }
-  mBook.Started(*backend, aWork, alone, aNow);
-  mRunning[aWork.id] = { aWork, *backend, alone };
+  const bool alone = NeedsAlone(aWork, aNow);
+  const auto choice = mBook.Choose(aWork, alone, aNow, state.onlyRoom);
+  if (choice.backend.empty()) {
+    // Without constraints of its own, a request that finds no room speaks
+    // for all others.
+    state.full = !choice.hadRoom && !alone && mBook.FitsAll(aWork);
+    return state.full ? Fit::kStop : Fit::kWaits;
+  }
+  mBook.Started(choice.backend, aWork, alone, aNow);
+  mRunning[aWork.id] = { aWork, choice.backend, alone };
   mCounters.started += 1;
-  NoteStarted(StateOf(aWork.service), aWork, aNow);
-  aOut.starts.push_back({ aWork.id, *backend });
-  return true;
+  NoteStarted(state, aWork, aNow);
+  aOut.starts.push_back({ aWork.id, choice.backend });
+  return Fit::kStarts;
 }
 
 bool
@@ -235,10 +296,11 @@
 {
   auto& state = StateOf(aService);
   while (state.queue.size() > 0) {
-    bool started = false;
+    int tries = 0;
     const auto popped = state.queue.Pop([&](const Work& aWork) {
-      started = StartNow(aWork, aNow, aOut);
-      return started;
+      const Fit fit = StartNow(aWork, aNow, aOut);
+      const bool enough = fit == Fit::kWaits && ++tries >= kMostTries;
+      return enough ? Fit::kStop : fit;
     });
     if (!popped) {
       break;
@@ -348,6 +410,7 @@
 {
   std::lock_guard<std::mutex> lock(mMutex);
   Decisions out;
+  ForgetFull();
   for (auto& [name, state] : mServices) {
     Expire(state, aNow, out);
     Pump(name, aNow, out);
@@ -397,7 +460,9 @@
   mRunning.erase(found);
   mCounters.finished += 1;
   mBook.Finished(running.backend, running.work, aReport, aNow);
+  NoteRoomAt(running);
   if (aReport.result == RunResult::kWhole) {
+    LearnOutput(running.work, aReport);
     mSuspects.Completed(running.work.fingerprint);
   }
   Release(running.work);
@@ -419,6 +484,7 @@
   RunReport report;
   report.result = RunResult::kNotSent;
   mBook.Finished(running.backend, running.work, report, aNow);
+  NoteRoomAt(running);
   auto& state = StateOf(running.work.service);
   if (mRetryTokens < 1 || !mBook.AnyFits(running.work)) {
     Reject(running.work, DropReason::kNoBackend, SpreadRetry(Seconds(1)), out);
--- a/src/policy/scheduler_test.cpp
+++ b/src/policy/scheduler_test.cpp
@@ -6,8 +6,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <atomic>
 #include <map>
 #include <set>
+#include <thread>
 
 namespace magnoliatide::policy {
 namespace {
@@ -239,6 +241,39 @@
   EXPECT_EQ(third.drops[0].reason, DropReason::kHarmful);
 }
 
+TEST(Scheduler, ThreadsShareItWithoutLosingARequest)
+{
+  Scheduler scheduler({});
+  scheduler.Apply(DocumentOf(1000, 4));
+  std::atomic<int> decided{ 0 };
+  std::vector<std::thread> threads;
+  for (RequestId thread = 0; thread < 4; ++thread) {
+    threads.emplace_back([&, thread] {
+      const TimePoint now = TimePoint{} + Seconds(1000);
+      RunReport report;
+      for (RequestId i = 1; i <= 200; ++i) {
+        auto work = WorkOf(thread * 1000 + i, 0, now);
+        auto decisions = scheduler.Submit(work, now);
+        while (!decisions.starts.empty() || !decisions.drops.empty()) {
+          decided += static_cast<int>(decisions.starts.size() +
+                                      decisions.drops.size());
+          Decisions next;
+          for (const auto& start : decisions.starts) {
+            const auto more = scheduler.Finish(start.id, report, now);
+            next.starts.insert(
+              next.starts.end(), more.starts.begin(), more.starts.end());
+          }
+          decisions = std::move(next);
+        }
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  EXPECT_EQ(decided.load(), 800);
+}
+
 RC_GTEST_PROP(FairOrder, ServesInProportionToWeights, ())
 {
   const int weight = *rc::gen::inRange(1, 6);
--- a/src/policy/wait_queue.cpp
+++ b/src/policy/wait_queue.cpp
@@ -13,7 +13,7 @@
 } // namespace
 
 void
-WaitQueue::Push(const Work& aWork)
+WaitQueue::Push(const Work& aWork, TimePoint aLatestStart)
 {
   const double cost = CostOf(aWork.size);
   auto& tier = mTiers[aWork.tier];
@@ -27,19 +27,20 @@
   tier.cost += cost;
   kind.order.Activate(aWork.team);
   tier.order.Activate(aWork.kind);
-  mDeadlines.insert({ aWork.deadline, aWork.id });
-  mItems[aWork.id] = { aWork, cost };
+  mLatestStarts.insert({ aLatestStart, aWork.id });
+  mItems[aWork.id] = { aWork, cost, aLatestStart };
 }
 
 std::optional<Work>
-WaitQueue::Pop(const std::function<bool(const Work&)>& aFits)
+WaitQueue::Pop(const std::function<Fit(const Work&)>& aFits)
 {
+  bool stop = false;
   for (auto& [number, tier] : mTiers) {
     if (tier.count == 0) {
       continue;
     }
-    auto work = PopFromTier(tier, aFits);
-    if (work) {
+    auto work = PopFromTier(tier, aFits, stop);
+    if (work || stop) {
       return work;
     }
   }
@@ -48,19 +49,21 @@
 
 std::optional<Work>
 WaitQueue::PopFromTier(TierLine& aTier,
-                       const std::function<bool(const Work&)>& aFits)
+                       const std::function<Fit(const Work&)>& aFits,
+                       bool& aStop)
 {
   RequestId chosen = 0;
-  const bool found = aTier.order.Visit([&](const std::string& aKind) {
+  aTier.order.Visit([&](const std::string& aKind) {
     const auto& kind = aTier.kinds.at(aKind);
     return kind.order.Visit([&](const std::string& aTeam) {
       const RequestId front = kind.teams.at(aTeam).ids.front();
-      const bool fits = aFits(mItems.at(front).work);
-      chosen = fits ? front : chosen;
-      return fits;
+      const Fit fit = aFits(mItems.at(front).work);
+      chosen = fit == Fit::kStarts ? front : chosen;
+      aStop = fit == Fit::kStop;
+      return fit != Fit::kWaits;
     });
   });
-  if (!found) {
+  if (chosen == 0) {
     return std::nullopt;
   }
   return Take(chosen, true);
@@ -83,7 +86,7 @@
   team.cost -= cost;
   tier.count -= 1;
   tier.cost = tier.count == 0 ? 0 : tier.cost - cost;
-  mDeadlines.erase({ work.deadline, aId });
+  mLatestStarts.erase({ node.mapped().latestStart, aId });
   if (team.ids.empty()) {
     kind.order.Deactivate(work.team);
     kind.teams.erase(work.team);
@@ -152,8 +155,8 @@
 WaitQueue::Expired(TimePoint aNow) const
 {
   std::vector<RequestId> ids;
-  for (const auto& [deadline, id] : mDeadlines) {
-    if (deadline > aNow) {
+  for (const auto& [latest, id] : mLatestStarts) {
+    if (latest > aNow) {
       break;
     }
     ids.push_back(id);
--- /dev/null
+++ b/tests/orders_process_test.cpp
@@ -0,0 +1,62 @@
+// Orders to engines follow the document, and are repeated when undone.
+#include "support.h"
+
+#include <gtest/gtest.h>
+
+namespace magnoliatide::tests {
+namespace {
+
+boost::json::object
+OrderAt(load::Fleet& aFleet, std::size_t aBackend)
+{
+  const auto result =
+    aFleet.Get(aFleet.Backends()[aBackend].address, "/control/orders");
+  boost::system::error_code error;
+  const auto value = boost::json::parse(result.response.body, error);
+  return error ? boost::json::object{} : value.as_object();
+}
+
+bool
+HasOrder(load::Fleet& aFleet, std::size_t aBackend, std::uint64_t aGeneration)
+{
+  const auto order = OrderAt(aFleet, aBackend);
+  const auto* generation = order.if_contains("generation");
+  return generation != nullptr &&
+         generation->to_number<std::uint64_t>() == aGeneration &&
+         order.at("order").as_string().starts_with("models:small");
+}
+
+void
+GiveForeignOrder(load::Fleet& aFleet, std::size_t aBackend)
+{
+  http::Request request;
+  request.method = "POST";
+  request.target = "/control/orders?fencing=0&order=models:old";
+  aFleet.Call(aFleet.Backends()[aBackend].address, std::move(request));
+}
+
+TEST(Orders, AreGivenAndRepeatedWhenACarelessEngineTookAnOldOne)
+{
+  auto options = SmallFleet("orders");
+  options.groups[0].managed = true;
+  load::Fleet fleet(options);
+  ASSERT_TRUE(fleet.Start());
+  ASSERT_TRUE(Await([&] { return HasOrder(fleet, 0, 1); }, Seconds(10)));
+  GiveForeignOrder(fleet, 0);
+  EXPECT_TRUE(Await([&] { return HasOrder(fleet, 0, 1); }, Seconds(10)));
+}
+
+TEST(Orders, AnEngineThatChecksFencingRefusesAnOldOne)
+{
+  auto options = SmallFleet("fencing");
+  options.groups[0].managed = true;
+  options.groups[0].checksFencing = true;
+  load::Fleet fleet(options);
+  ASSERT_TRUE(fleet.Start());
+  ASSERT_TRUE(Await([&] { return HasOrder(fleet, 0, 1); }, Seconds(10)));
+  GiveForeignOrder(fleet, 0);
+  EXPECT_TRUE(HasOrder(fleet, 0, 1));
+}
+
+} // namespace
+} // namespace magnoliatide::tests
