Cut zones off in tests, and tell a fast restart from a lost connection

Cause: no test cut the network between zones. A break that gave a cut stream an end mark was not found by its test. Change: forwarders between VMs that cut a zone; servers may name their life in X-Backend-Incarnation, and a changed life counts as a crash; callers of the tests tell an answer framed as whole from one shown as cut.

--- a/include/magnoliatide/backend/pool.h
+++ b/include/magnoliatide/backend/pool.h
@@ -22,6 +22,13 @@
   std::size_t idlePerBackend = 64;
 };
 
+/// What a health check found.
+struct Health
+{
+  bool answered = false;
+  std::string incarnation; ///< Which life of the server answered, if it tells.
+};
+
 /// Keeps connections apart by event loop. Safe to use from several threads.
 class Pool
 {
@@ -34,9 +41,8 @@
   boost::asio::awaitable<std::shared_ptr<http::ClientConnection>> Acquire(
     document::Endpoint aPeer);
 
-  /// Returns whether a backend server answers GET /health on a connection of
-  /// its own.
-  boost::asio::awaitable<bool> Healthy(document::Endpoint aPeer);
+  /// Asks a backend server for GET /health on a connection of its own.
+  boost::asio::awaitable<Health> Check(document::Endpoint aPeer);
 
   /// Gives a connection back. It is kept only if its answer was whole.
   void Release(const boost::asio::any_io_executor& aExecutor,
@@ -48,6 +54,9 @@
   std::unique_ptr<Store> mStore;
 };
 
+/// Names the life of a backend server, in its answers.
+constexpr char kIncarnationHeader[] = "X-Backend-Incarnation";
+
 } // namespace magnoliatide::backend
 
 #endif
--- a/include/magnoliatide/orders/plan.h
+++ b/include/magnoliatide/orders/plan.h
@@ -27,8 +27,8 @@
 
 enum class Step
 {
-  kNothing,  ///< The engine has what it should have, or something newer.
-  kOrder,    ///< Give the order.
+  kNothing, ///< The engine has what it should have, or something newer.
+  kOrder,   ///< Give the order.
 };
 
 /// Returns the order for an engine under a document.
--- a/include/magnoliatide/policy/backend_book.h
+++ b/include/magnoliatide/policy/backend_book.h
@@ -196,7 +196,7 @@
     Fitting states;
     double medianTokenTime = 0; ///< 0 before a sample.
     double bestTokenTime = 0;   ///< 0 before a sample.
-    TimePoint judged{}; ///< When the best were looked up.
+    TimePoint judged{};         ///< When the best were looked up.
     /// Answers of FitsAll() by model and adapter, until servers change.
     std::map<std::string, bool> fitsAll;
   };
--- a/include/magnoliatide/policy/wait_queue.h
+++ b/include/magnoliatide/policy/wait_queue.h
@@ -93,10 +93,9 @@
     TimePoint latestStart;
   };
 
-  std::optional<Work> PopFromTier(
-    TierLine& aTier,
-    const std::function<Fit(const Work&)>& aFits,
-    bool& aStop);
+  std::optional<Work> PopFromTier(TierLine& aTier,
+                                  const std::function<Fit(const Work&)>& aFits,
+                                  bool& aStop);
   Work Take(RequestId aId, bool aCharge);
 
   /// Holds every waiting request; the lines hold the same ids.
--- a/load/callers.cpp
+++ b/load/callers.cpp
@@ -155,17 +155,17 @@
   }
   const auto marker = "\"marker\":\"" + ToHex(Hash64(aPlanned.prompt)) + "\"";
   if (aBody.find("\"marker\":") == std::string::npos) {
-    return Ending::kCut;
+    return Ending::kMisframed;
   }
   if (aBody.find(marker) == std::string::npos) {
     return Ending::kCrossed;
   }
   if (!traffic.stream) {
-    return aBody.ends_with("}") ? Ending::kWhole : Ending::kCut;
+    return aBody.ends_with("}") ? Ending::kWhole : Ending::kMisframed;
   }
   const bool whole = CountEvents(aBody) == aPlanned.outputTokens &&
                      aBody.ends_with("data: [DONE]\n\n");
-  return whole ? Ending::kWhole : Ending::kCut;
+  return whole ? Ending::kWhole : Ending::kMisframed;
 }
 
 Ending
@@ -306,6 +306,8 @@
       return "running";
     case Ending::kCut:
       return "cut";
+    case Ending::kMisframed:
+      return "misframed";
     case Ending::kCrossed:
       return "crossed";
     case Ending::kLost:
--- a/load/callers.h
+++ b/load/callers.h
@@ -45,6 +45,7 @@
   kUnknown,   ///< Told "unknown".
   kRunning,   ///< Told "running".
   kCut,       ///< The answer was visibly incomplete.
+  kMisframed, ///< Framed as whole, and incomplete.
   kCrossed,   ///< An answer to another request.
   kLost,      ///< No answer: the connection ended.
   kUnreached, ///< No connection was made, so nothing was told.
--- a/load/checker.cpp
+++ b/load/checker.cpp
@@ -199,8 +199,8 @@
 bool
 Findings::Passed() const
 {
-  return crossed == 0 && doubleRuns == 0 && falseNotRun == 0 &&
-         unrunWhole == 0 && tierInversions == 0;
+  return crossed == 0 && misframed == 0 && doubleRuns == 0 &&
+         falseNotRun == 0 && unrunWhole == 0 && tierInversions == 0;
 }
 
 Findings
@@ -215,6 +215,10 @@
       findings.crossed += 1;
       AddExample(findings, "crossed: " + record.requestId);
     }
+    if (record.ending == Ending::kMisframed) {
+      findings.misframed += 1;
+      AddExample(findings, "framed as whole: " + record.requestId);
+    }
   }
   for (const auto& [name, sends] : Group(aRecords)) {
     const int runs = aLog.RunsOf(name);
--- a/load/checker.h
+++ b/load/checker.h
@@ -48,6 +48,7 @@
 {
   int sends = 0;
   int crossed = 0;
+  int misframed = 0;      ///< Framed as whole, and incomplete.
   int doubleRuns = 0;     ///< Request ids or keys that ran more than once.
   int falseNotRun = 0;    ///< Told "not-run" and ran.
   int unrunWhole = 0;     ///< Answered whole and never ran.
--- a/load/fleet.cpp
+++ b/load/fleet.cpp
@@ -65,6 +65,9 @@
   : mOptions(std::move(aOptions))
 {
   std::filesystem::create_directories(mOptions.folder);
+  if (mOptions.cuttable) {
+    mNetwork = std::make_unique<Network>();
+  }
   PlaceMembers();
 }
 
@@ -119,7 +122,12 @@
     member.zone = mOptions.zones[index % zones];
     member.name = member.zone + "/vm" + std::to_string(index / zones + 1);
     member.address = Place(host);
-    member.peer = Place(host);
+    member.peerBind = Place(host);
+    member.peer = member.peerBind;
+    if (mOptions.cuttable) {
+      member.peer = Place(HostOf(index % zones, index / zones, 2));
+      mNetwork->AddVm(member.peer, member.peerBind, member.zone);
+    }
     member.admin = Place(host);
     member.command = { mOptions.binaries + "/src/magnoliatide",
                        "serve",
@@ -147,6 +155,7 @@
       << "\nenvironment = " << mOptions.environment
       << "\ncaller-address = " << Format(aVm.address)
       << "\npeer-address = " << Format(aVm.peer)
+      << "\npeer-bind = " << Format(aVm.peerBind)
       << "\nadmin-address = " << Format(aVm.admin)
       << "\nthreads = " << mOptions.threads
       << "\n[platform]\naddress = " << Format(mPlatform.address)
--- a/load/fleet.h
+++ b/load/fleet.h
@@ -3,6 +3,7 @@
 #ifndef MAGNOLIATIDE_LOAD_FLEET_H
 #define MAGNOLIATIDE_LOAD_FLEET_H
 
+#include "network.h"
 #include "process.h"
 
 #include "magnoliatide/document/document.h"
@@ -46,6 +47,8 @@
   std::string policyLines; ///< Lines for [policy] in the settings.
   int threads = 2;
   std::string logLevel = "info";
+  /// Whether VMs reach each other through a network that can be cut.
+  bool cuttable = false;
 };
 
 /// A process of the fleet and where it is reached.
@@ -53,9 +56,10 @@
 {
   std::string name;
   std::string zone;
-  document::Endpoint address; ///< For callers.
-  document::Endpoint peer;    ///< VMs only.
-  document::Endpoint admin;   ///< VMs only.
+  document::Endpoint address;  ///< For callers.
+  document::Endpoint peer;     ///< VMs only; as others reach it.
+  document::Endpoint peerBind; ///< VMs only; where it listens.
+  document::Endpoint admin;    ///< VMs only.
   Process process;
   std::vector<std::string> command;
 };
@@ -105,6 +109,9 @@
   std::vector<Member>& Vms() { return mVms; }
   std::vector<Member>& Backends() { return mBackends; }
   Member& Platform() { return mPlatform; }
+
+  /// Returns the network between the VMs of a cuttable fleet.
+  Network& PeerNetwork() { return *mNetwork; }
   const FleetOptions& Options() const { return mOptions; }
   http::Threads& Threads() { return mThreads; }
 
@@ -119,6 +126,7 @@
 
   FleetOptions mOptions;
   http::Threads mThreads{ 2 };
+  std::unique_ptr<Network> mNetwork;
   Member mPlatform;
   std::vector<Member> mBackends;
   std::vector<BackendGroup> mGroupOf; ///< The group of each backend server.
--- a/load/latency.cpp
+++ b/load/latency.cpp
@@ -52,7 +52,7 @@
   if (status == http::CallStatus::kDone) {
     status = co_await aConnection.ReadRest(response.body, kMostBody, kBound);
   }
-  co_return status == http::CallStatus::kDone && response.status == 200;
+  co_return status == http::CallStatus::kDone&& response.status == 200;
 }
 
 asio::awaitable<double>
--- a/load/report.cpp
+++ b/load/report.cpp
@@ -86,6 +86,7 @@
   }
   return { { "sends", aFindings.sends },
            { "crossed", aFindings.crossed },
+           { "misframed", aFindings.misframed },
            { "double_runs", aFindings.doubleRuns },
            { "false_not_run", aFindings.falseNotRun },
            { "unrun_whole", aFindings.unrunWhole },
@@ -113,10 +114,11 @@
                           ? 100 * aSet.wastedTokens / aSet.prefilledTokens
                           : 0;
   aOut << "check: " << (findings.Passed() ? "passed" : "FAILED") << "; crossed "
-       << findings.crossed << ", double runs " << findings.doubleRuns
-       << ", false not-run " << findings.falseNotRun << ", answered unrun "
-       << findings.unrunWhole << ", tier inversions " << findings.tierInversions
-       << "; wasted prefill " << wasted << "%\n";
+       << findings.crossed << ", misframed " << findings.misframed
+       << ", double runs " << findings.doubleRuns << ", false not-run "
+       << findings.falseNotRun << ", answered unrun " << findings.unrunWhole
+       << ", tier inversions " << findings.tierInversions << "; wasted prefill "
+       << wasted << "%\n";
   for (const auto& example : findings.examples) {
     aOut << "  " << example << "\n";
   }
--- a/load/scale.cpp
+++ b/load/scale.cpp
@@ -161,10 +161,10 @@
     const auto target = static_cast<std::size_t>(i) % aFleet.Vms().size();
     auto& vm = aFleet.Vms()[target];
     vm.process.Signal(SIGKILL);
-    worst = std::max(
-      worst, SecondsUntilAll(aFleet, target, [&](const Member& aVm) {
-        return SeesState(aFleet, aVm, vm.name, "dead");
-      }));
+    worst =
+      std::max(worst, SecondsUntilAll(aFleet, target, [&](const Member& aVm) {
+                 return SeesState(aFleet, aVm, vm.name, "dead");
+               }));
     vm.process.Wait(Seconds(5));
     aFleet.StartVm(target);
     SecondsUntilAll(aFleet, target, [&](const Member& aVm) {
@@ -201,8 +201,7 @@
   row.sentBytesPerSecond = (after.sent - before.sent) / seconds / vms;
   row.receivedBytesPerSecond =
     (after.received - before.received) / seconds / vms;
-  row.datagramsPerSecond =
-    (after.datagrams - before.datagrams) / seconds / vms;
+  row.datagramsPerSecond = (after.datagrams - before.datagrams) / seconds / vms;
   row.corePercent = 100 * (after.cpu - before.cpu) / seconds / vms;
   row.residentMegabytes = after.resident / vms;
   row.platformCallsPerSecond =
@@ -244,12 +243,11 @@
     aOut << std::setw(5) << row.size.vms << std::setw(6) << row.size.teams
          << std::setw(8) << row.size.engines << std::setw(10)
          << row.sentBytesPerSecond << std::setw(10)
-         << row.receivedBytesPerSecond << std::setw(9)
-         << row.datagramsPerSecond << std::setw(8) << row.corePercent
-         << std::setw(8) << row.residentMegabytes << std::setw(12)
-         << row.platformCallsPerSecond << std::setw(8)
-         << row.documentKilobytes << std::setw(10) << row.changeSeconds
-         << std::setw(10) << row.detectionSeconds << "\n";
+         << row.receivedBytesPerSecond << std::setw(9) << row.datagramsPerSecond
+         << std::setw(8) << row.corePercent << std::setw(8)
+         << row.residentMegabytes << std::setw(12) << row.platformCallsPerSecond
+         << std::setw(8) << row.documentKilobytes << std::setw(10)
+         << row.changeSeconds << std::setw(10) << row.detectionSeconds << "\n";
   }
 }
 
--- a/load/scale.h
+++ b/load/scale.h
@@ -23,8 +23,8 @@
 {
   std::string binaries;
   std::string folder;
-  Duration settle = Seconds(6);   ///< Before the measurement.
-  Duration measure = Seconds(8);  ///< Length of the measurement.
+  Duration settle = Seconds(6);  ///< Before the measurement.
+  Duration measure = Seconds(8); ///< Length of the measurement.
   int trials = 5; ///< Of a change of document, and of a killed VM.
 };
 
--- a/src/backend/pool.cpp
+++ b/src/backend/pool.cpp
@@ -87,8 +87,8 @@
   co_return connection;
 }
 
-asio::awaitable<bool>
-Pool::Healthy(document::Endpoint aPeer)
+asio::awaitable<Health>
+Pool::Check(document::Endpoint aPeer)
 {
   http::Request request;
   request.target = "/health";
--- a/src/claims/register.cpp
+++ b/src/claims/register.cpp
@@ -46,8 +46,7 @@
                     const Electorate& aElectorate,
                     TimePoint aNow)
 {
-  if (aRequest.electorate != aElectorate.Hash() ||
-      !Ready(aElectorate, aNow)) {
+  if (aRequest.electorate != aElectorate.Hash() || !Ready(aElectorate, aNow)) {
     return nullptr;
   }
   const auto [at, fresh] = mKeys.try_emplace(aRequest.key);
@@ -62,8 +61,7 @@
                  const Electorate& aElectorate,
                  TimePoint aNow)
 {
-  auto vote =
-    NewVote(aRequest.proposal, false, aRequest.ballot, aElectorate);
+  auto vote = NewVote(aRequest.proposal, false, aRequest.ballot, aElectorate);
   auto* epoch = OpenEpoch(aRequest, aElectorate, aNow);
   if (epoch == nullptr) {
     return vote;
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -150,8 +150,8 @@
     words.push_back(aWords[i]);
   }
   for (const auto& command : kCommands) {
-    const bool fits = words.size() >= command.leastWords &&
-                      words.size() <= command.mostWords;
+    const bool fits =
+      words.size() >= command.leastWords && words.size() <= command.mostWords;
     if (name == command.name && fits) {
       return command.run(words);
     }
--- a/src/cli/fleet_commands.cpp
+++ b/src/cli/fleet_commands.cpp
@@ -45,8 +45,8 @@
   {
     mVms = document::SplitList(mFleet.vms);
     std::vector<Fault> faults;
-    mToken = ValueOrFaults(
-      [&] { return document::ReadFile(mFleet.tokenFile); }, faults);
+    mToken = ValueOrFaults([&] { return document::ReadFile(mFleet.tokenFile); },
+                           faults);
     boost::algorithm::trim(mToken);
     if (mVms.empty()) {
       faults.push_back({ FaultKind::kMissing,
@@ -223,8 +223,8 @@
   for (const auto& record : merged) {
     if (!aFleet.json) {
       std::cout << record.time << " " << record.observer << " "
-                << record.subject << ": " << record.from << " -> "
-                << record.to << " (" << record.cause << ")\n";
+                << record.subject << ": " << record.from << " -> " << record.to
+                << " (" << record.cause << ")\n";
     }
     array.push_back(json::object{ { "number", record.number },
                                   { "observer", record.observer },
@@ -249,8 +249,7 @@
 }
 
 ExitCode
-RequireInForce(const document::Document& aDocument,
-               const FleetOptions& aFleet)
+RequireInForce(const document::Document& aDocument, const FleetOptions& aFleet)
 {
   Asker asker(aFleet);
   const auto prepared = asker.Prepare();
--- a/src/cli/fleet_commands.h
+++ b/src/cli/fleet_commands.h
@@ -20,8 +20,7 @@
 
 /// Checks that every VM given has a document in force.
 ExitCode
-RequireInForce(const document::Document& aDocument,
-               const FleetOptions& aFleet);
+RequireInForce(const document::Document& aDocument, const FleetOptions& aFleet);
 
 } // namespace magnoliatide::cli
 
--- a/src/document/in_force_test.cpp
+++ b/src/document/in_force_test.cpp
@@ -20,8 +20,8 @@
 
 RC_GTEST_PROP(InForce, NeverRevertsAndAllOrdersEndAlike, ())
 {
-  const auto offers = *rc::gen::container<std::vector<int>>(
-    rc::gen::inRange(0, 24));
+  const auto offers =
+    *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 24));
   InForce first("trial");
   std::vector<Fault> faults;
   std::uint64_t generation = 0;
@@ -29,8 +29,8 @@
   for (const int offer : offers) {
     first.Offer("test", TextOf(1 + offer / 3, offer % 3), faults);
     const auto current = first.Current();
-    RC_ASSERT(!Supersedes(
-      generation, digest, current->generation, current->digest));
+    RC_ASSERT(
+      !Supersedes(generation, digest, current->generation, current->digest));
     generation = current->generation;
     digest = current->digest;
   }
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -216,6 +216,7 @@
   void CountEnd(const Job& aJob, const char* aOutcome, std::string_view aKind);
   void EndKey(const Job& aJob, KeyEnd aEnd, const http::Response& aAnswer);
   void NoteFirstByte(const JobPointer& aJob);
+  bool NoteIncarnation(const std::string& aBackend, std::string_view aLife);
   Duration Bound(const Job& aJob) const;
 
   using Jobs = oneapi::tbb::concurrent_hash_map<policy::RequestId, JobPointer>;
@@ -225,6 +226,8 @@
   std::atomic<bool> draining{ false };
   /// Holds every request that waits for a decision.
   Jobs jobs;
+  /// Backend server to the life that answered last, where it tells.
+  oneapi::tbb::concurrent_hash_map<std::string, std::string> lives;
 };
 
 asio::awaitable<void>
@@ -418,6 +421,8 @@
     co_await ReportLoss(aJob, status);
     co_return status;
   }
+  NoteIncarnation(aJob->backend,
+                  http::Find(head.headers, backend::kIncarnationHeader));
   if (http::Find(head.headers, "X-Request-Id") != aJob->id) {
     parts.metrics->Count("crossed_answers_total");
     aJob->connection->Close();
@@ -521,8 +526,9 @@
     co_return;
   }
   const auto address = aJob->document->FindBackend(aBackend)->address;
-  const bool healthy = co_await parts.pool->Healthy(address);
-  if (healthy) {
+  const auto health = co_await parts.pool->Check(address);
+  const bool sameLife = NoteIncarnation(aBackend, health.incarnation);
+  if (health.answered && sameLife) {
     // Only the connection failed; the server keeps its standing.
     parts.metrics->Count("connections_lost_total", { { "backend", aBackend } });
     aJob->report.result = policy::RunResult::kCancelled;
@@ -537,6 +543,27 @@
   }
 }
 
+/// Notes which life of a server answered. Returns false if it is another than
+/// before: the server ended in between, however fast it came back.
+bool
+Gateway::Core::NoteIncarnation(const std::string& aBackend,
+                               std::string_view aLife)
+{
+  if (aLife.empty()) {
+    return true;
+  }
+  {
+    decltype(lives)::const_accessor known;
+    if (lives.find(known, aBackend) && known->second == aLife) {
+      return true;
+    }
+  }
+  decltype(lives)::accessor entry;
+  const bool first = lives.insert(entry, aBackend);
+  entry->second = std::string(aLife);
+  return first;
+}
+
 asio::awaitable<void>
 Gateway::Core::Refuse(JobPointer aJob, Refusal aRefusal)
 {
--- a/src/node/notice_service.cpp
+++ b/src/node/notice_service.cpp
@@ -125,8 +125,7 @@
       mParts.members->FindRumour(wire::RumourKind::kSuspect, key);
     const auto version = known == nullptr ? 1 : known->version + 1;
     const auto level = std::to_string(static_cast<int>(entry.level));
-    mParts.members->Spread(
-      { wire::RumourKind::kSuspect, key, version, level });
+    mParts.members->Spread({ wire::RumourKind::kSuspect, key, version, level });
     mParts.audit->Add("request " + key, "", "suspicion " + level, "crash seen");
   }
   mParts.push();
--- a/src/node/order_service.cpp
+++ b/src/node/order_service.cpp
@@ -86,8 +86,8 @@
                    "&order=" + wanted.text;
   const auto result = co_await http::Call(
     aEngine.address, std::move(request), kCallBound, mParts.localHost);
-  const bool taken = result.status == http::CallStatus::kDone &&
-                     result.response.status == 200;
+  const bool taken =
+    result.status == http::CallStatus::kDone && result.response.status == 200;
   mParts.metrics->Count("orders_total",
                         { { "result", taken ? "taken" : "refused" } });
   mParts.audit->Add("order " + aEngine.name,
--- a/src/orders/plan_test.cpp
+++ b/src/orders/plan_test.cpp
@@ -27,8 +27,8 @@
 RC_GTEST_PROP(Orders, AnEngineEndsWithTheNewestOrder, ())
 {
   // VMs act in a drawn order, each under a document that may be old.
-  const auto acts = *rc::gen::container<std::vector<int>>(
-    rc::gen::inRange(1, 5));
+  const auto acts =
+    *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 5));
   CarelessEngine engine;
   std::uint64_t newest = 0;
   for (const int generation : acts) {
--- a/src/policy/backend_book.cpp
+++ b/src/policy/backend_book.cpp
@@ -202,8 +202,8 @@
   }
   const double prefill =
     aState.prefillAhead + aWork.size.promptTokens - HitTokens(aState, aWork);
-  const double run = prefill / speed.prefillRate +
-                     aWork.size.outputTokens * speed.tokenTime;
+  const double run =
+    prefill / speed.prefillRate + aWork.size.outputTokens * speed.tokenTime;
   return aNow + FromSeconds(run) <= aWork.deadline;
 }
 
@@ -523,9 +523,8 @@
       return;
     }
     const bool first = aPool.bestTokenTime <= 0;
-    aPool.bestTokenTime = first
-                            ? speed.tokenTime
-                            : std::min(aPool.bestTokenTime, speed.tokenTime);
+    aPool.bestTokenTime =
+      first ? speed.tokenTime : std::min(aPool.bestTokenTime, speed.tokenTime);
   }
 }
 
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -257,8 +257,7 @@
     const auto removed = aState.queue.Remove(victim->id);
     Shed(aState, *removed, DropReason::kDisplaced, aNow, aOut);
   }
-  aState.queue.Push(aWork,
-                    aWork.deadline - mBook.ShortestRun(aWork, aNow));
+  aState.queue.Push(aWork, aWork.deadline - mBook.ShortestRun(aWork, aNow));
   Pump(aWork.service, aNow, aOut);
 }
 
--- a/src/policy/scheduler_bench.cpp
+++ b/src/policy/scheduler_bench.cpp
@@ -17,10 +17,10 @@
                      "[kind k]\nservice = s\ntier = urgent\nteams = *\n";
   for (std::int64_t i = 0; i < aTeams; ++i) {
     const auto name = "team" + std::to_string(i);
-    text +=
-      "[team " + name + "]\ntoken-digest = " + Sha256Hex(name) + "\n"
-      "max-concurrent = 100000\nrate-per-second = 1000000\n"
-      "rate-per-minute = 60000000\n";
+    text += "[team " + name + "]\ntoken-digest = " + Sha256Hex(name) +
+            "\n"
+            "max-concurrent = 100000\nrate-per-second = 1000000\n"
+            "rate-per-minute = 60000000\n";
   }
   for (std::int64_t i = 0; i < aEngines; ++i) {
     text += "[engine e" + std::to_string(i) +
--- a/src/policy/scheduler_test.cpp
+++ b/src/policy/scheduler_test.cpp
@@ -36,8 +36,8 @@
   for (int i = 0; i < kEngines; ++i) {
     const auto number = std::to_string(i);
     text += "[engine e" + number + "]\nservice = s\naddress = 127.0.0.1:900" +
-            number + "\nzone = a\nmodels = m\nslots = " +
-            std::to_string(aSlots) + "\n";
+            number +
+            "\nzone = a\nmodels = m\nslots = " + std::to_string(aSlots) + "\n";
   }
   return text;
 }
@@ -48,8 +48,7 @@
   std::vector<Fault> faults;
   return ValueOrFaults(
     [&] {
-      return document::ParseDocument("t",
-                                     DocumentText(aQueueLimit, aSlots));
+      return document::ParseDocument("t", DocumentText(aQueueLimit, aSlots));
     },
     faults);
 }
@@ -125,8 +124,8 @@
   Ledger ledger;
   TimePoint now = TimePoint{} + Seconds(1000);
   RequestId next = 1;
-  const auto steps = *rc::gen::container<std::vector<int>>(
-    rc::gen::inRange(0, 100));
+  const auto steps =
+    *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
   for (const int step : steps) {
     now += Milliseconds(step % 7);
     if (step < 60) {
@@ -255,8 +254,8 @@
         auto work = WorkOf(thread * 1000 + i, 0, now);
         auto decisions = scheduler.Submit(work, now);
         while (!decisions.starts.empty() || !decisions.drops.empty()) {
-          decided += static_cast<int>(decisions.starts.size() +
-                                      decisions.drops.size());
+          decided +=
+            static_cast<int>(decisions.starts.size() + decisions.drops.size());
           Decisions next;
           for (const auto& start : decisions.starts) {
             const auto more = scheduler.Finish(start.id, report, now);
--- a/src/slots/slot_owner_test.cpp
+++ b/src/slots/slot_owner_test.cpp
@@ -72,8 +72,7 @@
   const TimePoint now = kStart + Seconds(10);
   EXPECT_EQ(owner.Handle("gone", DemandOf(0, { 9 }), now).grants[0].slots, 4);
   const auto later = now + Seconds(2);
-  EXPECT_EQ(owner.Handle("next", DemandOf(0, { 9 }), later).grants[0].slots,
-            4);
+  EXPECT_EQ(owner.Handle("next", DemandOf(0, { 9 }), later).grants[0].slots, 4);
 }
 
 TEST(SlotOwner, ANewOwnerGrantsOnlyEqualPartsForOneLease)
--- a/src/wire/codec_test.cpp
+++ b/src/wire/codec_test.cpp
@@ -21,16 +21,15 @@
   probe.number = aNumber;
   probe.gossip.members.push_back(
     { aText, "127.0.0.1:1", aNumber, 2, MemberState::kSuspect });
-  probe.gossip.rumours.push_back(
-    { RumourKind::kSuspect, aText, aNumber, "1" });
+  probe.gossip.rumours.push_back({ RumourKind::kSuspect, aText, aNumber, "1" });
   message.body = probe;
   return message;
 }
 
 RC_GTEST_PROP(Codec, ReadsBackWhatItWrote, (std::uint64_t aNumber))
 {
-  const auto text = *rc::gen::container<std::string>(
-    rc::gen::inRange<char>('a', 'z'));
+  const auto text =
+    *rc::gen::container<std::string>(rc::gen::inRange<char>('a', 'z'));
   const Codec codec(kKeys);
   Datagram read;
   const auto bytes = codec.Encode(SampleProbe(aNumber, text));
@@ -73,8 +72,8 @@
 TEST(Codec, KeysAreRotatedWithoutALoss)
 {
   const Codec before(std::vector<Key>{ { "k1", "0123456789abcdef" } });
-  const Codec both({ { "k2", "fedcba9876543210" },
-                     { "k1", "0123456789abcdef" } });
+  const Codec both(
+    { { "k2", "fedcba9876543210" }, { "k1", "0123456789abcdef" } });
   const Codec after(std::vector<Key>{ { "k2", "fedcba9876543210" } });
   Datagram read;
   EXPECT_EQ(both.Decode(before.Encode(SampleProbe(1, "x")), read),
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -118,8 +118,10 @@
     if (mFaults.silent) {
       co_await Pause(kSilence);
     }
-    co_await aExchange.Respond(
-      http::TextResponse(mFaults.unhealthy ? 503 : 200, "health\n"));
+    auto response =
+      http::TextResponse(mFaults.unhealthy ? 503 : 200, "health\n");
+    response.headers.push_back({ "X-Backend-Incarnation", mIncarnation });
+    co_await aExchange.Respond(std::move(response));
   }
 
   asio::awaitable<void> Generate(http::Exchange& aExchange)
@@ -208,7 +210,8 @@
     }
     head.headers = { { "Content-Type", aType },
                      { "X-Request-Id", id },
-                     { "X-Engine", mOptions.name } };
+                     { "X-Engine", mOptions.name },
+                     { "X-Backend-Incarnation", mIncarnation } };
     if (mFaults.leaving) {
       head.headers.push_back({ "X-Backend-State", "leaving" });
     }
@@ -352,6 +355,7 @@
   }
 
   EngineOptions mOptions;
+  std::string mIncarnation = ToHex(RandomId());
   Faults mFaults;
   std::map<std::string, int> mRuns;
   std::deque<std::uint64_t> mWaiting;
--- a/tests/backends_process_test.cpp
+++ b/tests/backends_process_test.cpp
@@ -100,6 +100,8 @@
       Seconds(10)));
   };
   arm();
+  // The VMs come to know the engines.
+  SendAll(fleet, { Quotes(60, Seconds(1)) }, 30);
   auto poison = Quotes(1, Seconds(1));
   poison.promptText = "BOOM ";
   int crashes = 0;
@@ -115,6 +117,7 @@
       crashes += fleet.Backends()[i].process.Running() ? 0 : 1;
     }
     arm();
+    SendAll(fleet, { Quotes(60, Seconds(1)) }, 40 + send);
     // The suspicion reaches the other VMs.
     std::this_thread::sleep_for(Milliseconds(800));
   }
