Judge waits by fair shares, ask for slots by shards, send documents as changes

Cause: (1) beside a team that asked for 60 times as much, 68 of 74 requests of a small team were answered, of 158 confirmations 142 in a flood of the same kind: the wait was predicted from the whole tier's backlog, which fair shares let the small team pass. (2) With 300 engines in a document the demands for slots no longer fit a datagram: 21 datagrams a second fell to 10. Change: (1) the wait counts what fair shares let pass before the request; (2) shards of 24 engines with owners of their own, servers by index, unused ones left out, other zones' owners asked only when needed beyond eight shards; (3) a VM that is behind gets the sections that changed since its own document.

--- a/include/magnoliatide/policy/backend_book.h
+++ b/include/magnoliatide/policy/backend_book.h
@@ -140,9 +140,9 @@
                 const RunReport& aReport,
                 TimePoint aNow);
 
-  /// Returns and resets the load since the last call, for a service and zone.
-  std::vector<BackendLoad> TakeLoads(const std::string& aService,
-                                     const std::string& aZone);
+  /// Returns and resets the load since the last call, in the order of the
+  /// names.
+  std::vector<BackendLoad> TakeLoads(const std::vector<std::string>& aNames);
 
   /// Returns the shortest time a request could take from start to end; zero
   /// where no speed was measured yet.
--- a/include/magnoliatide/policy/scheduler.h
+++ b/include/magnoliatide/policy/scheduler.h
@@ -98,8 +98,7 @@
   std::vector<SuspectEntry> SuspectEntries(TimePoint aNow);
 
   ServiceDemand Demand(const std::string& aService, TimePoint aNow);
-  std::vector<BackendLoad> TakeLoads(const std::string& aService,
-                                     const std::string& aZone);
+  std::vector<BackendLoad> TakeLoads(const std::vector<std::string>& aNames);
   std::vector<BackendView> Backends(TimePoint aNow);
   std::map<std::string, std::vector<int>> Waiting();
   SchedulerCounters Counters();
--- a/include/magnoliatide/policy/wait_queue.h
+++ b/include/magnoliatide/policy/wait_queue.h
@@ -57,8 +57,12 @@
   /// Returns the number of waiting requests of a tier.
   std::size_t CountOf(int aTier) const;
 
-  /// Returns the cost waiting in a tier and the tiers above it.
-  double CostAhead(int aTier) const;
+  /// Returns the cost that will be served before a request that arrives now:
+  /// the tiers above, and in its tier what fair shares let pass before it.
+  double CostAhead(const Work& aWork) const;
+
+  /// Returns whether anything waits in a tier or the tiers above it.
+  bool AnyAhead(int aTier) const;
 
   /// Returns the highest number of a tier that holds a request, or -1.
   int LowestTier() const;
@@ -76,6 +80,8 @@
     FairOrder order;
     std::map<std::string, TeamLine> teams;
     double weight = 1;
+    double cost = 0;       ///< Sum over the teams.
+    double teamWeight = 0; ///< Sum over the teams.
   };
 
   struct TierLine
@@ -96,6 +102,7 @@
   std::optional<Work> PopFromTier(TierLine& aTier,
                                   const std::function<Fit(const Work&)>& aFits,
                                   bool& aStop);
+  static double CostAheadInTier(const TierLine& aTier, const Work& aWork);
   Work Take(RequestId aId, bool aCharge);
 
   /// Holds every waiting request; the lines hold the same ids.
--- a/include/magnoliatide/slots/slot_owner.h
+++ b/include/magnoliatide/slots/slot_owner.h
@@ -1,5 +1,6 @@
-// Grants the slots of the backend servers of one service in one zone to the
-// VMs that share them, for a lease time. Knows no requests. No I/O.
+// Grants the slots of a shard, some of the backend servers of one service in
+// one zone, to the VMs that share them, for a lease time. Knows no requests. No
+// I/O.
 #ifndef MAGNOLIATIDE_SLOTS_SLOT_OWNER_H
 #define MAGNOLIATIDE_SLOTS_SLOT_OWNER_H
 
@@ -35,7 +36,8 @@
 public:
   SlotOwner(SlotOwnerOptions aOptions, TimePoint aNow);
 
-  /// Takes over the backend servers of a document. Limits of those that stay
+  /// Takes over the backend servers of a document, in the order of their
+  /// names. Limits of those that stay
   /// are kept.
   void SetBackends(const std::vector<OwnedBackend>& aBackends);
 
@@ -79,6 +81,7 @@
     TimePoint seen{};
   };
 
+  void ForgetUse(const std::string& aVm);
   void NoteUse(const std::string& aVm,
                const wire::SlotUse& aUse,
                TimePoint aNow);
@@ -91,6 +94,8 @@
   SlotOwnerOptions mOptions;
   TimePoint mSince;
   std::map<std::string, Backend> mBackends;
+  /// Names of the servers; their places are their indexes on the wire.
+  std::vector<std::string> mNames;
   /// VMs heard of within a lease time.
   std::map<std::string, VmDemand> mVms;
 };
--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -198,26 +198,28 @@
 /// Load of one backend server by one VM.
 struct SlotUse
 {
-  std::string backend;
+  std::uint8_t index = 0; ///< Of the server in its shard, by name.
   std::uint16_t inFlight = 0;
   std::uint16_t finished = 0;
   std::uint16_t late = 0;
   std::uint16_t limit = 0; ///< Last limit that the VM was told; 0 for none.
 };
 
-/// A VM's demand on the backend servers of one service and zone.
+/// A VM's demand on a shard: some of the backend servers of one service and
+/// zone. Sender and receiver must have the same document in force.
 struct SlotDemand
 {
   std::string service;
   std::string zone;
+  std::uint16_t shard = 0;
   std::vector<std::uint16_t> waitingByTier;
   std::int8_t shedTier = -1; ///< Highest tier shed lately, or -1.
-  std::vector<SlotUse> uses;
+  std::vector<SlotUse> uses; ///< Servers that the VM does not use are left out.
 };
 
 struct SlotGrant
 {
-  std::string backend;
+  std::uint8_t index = 0;
   std::uint16_t slots = 0;
   std::uint16_t limit = 0;
 };
@@ -227,6 +229,7 @@
 {
   std::string service;
   std::string zone;
+  std::uint16_t shard = 0;
   std::uint32_t leaseMillis = 0;
   std::int8_t shedTier = -1; ///< Highest tier shed lately in the fleet.
   std::vector<SlotGrant> grants;
@@ -243,14 +246,26 @@
                                   SlotDemand,
                                   SlotGrants>;
 
+/// Asks for the document in force.
 struct DocumentRequest
-{};
+{
+  DocumentHead have; ///< The asking VM's; generation 0 for none.
+};
 
-struct DocumentReply
+/// Sections of the asking VM's document to keep, followed by new text.
+struct DocumentPart
 {
+  std::uint32_t first = 0;
+  std::uint32_t count = 0;
   std::string text;
 };
 
+struct DocumentReply
+{
+  DocumentHead base; ///< What the parts build on; generation 0 for nothing.
+  std::vector<DocumentPart> parts;
+};
+
 /// Exchanges all members and rumours.
 struct SyncRequest
 {
--- a/src/node/config_service.cpp
+++ b/src/node/config_service.cpp
@@ -3,6 +3,7 @@
 
 #include "magnoliatide/core/digest.h"
 #include "magnoliatide/core/rendezvous.h"
+#include "magnoliatide/document/delta.h"
 
 #include <boost/asio.hpp>
 
@@ -21,9 +22,31 @@
 constexpr Duration kFetchBound = Seconds(2);
 constexpr std::size_t kMostRefused = 256;
 constexpr std::size_t kShortDigits = 16;
+constexpr std::size_t kFormerHeld = 4;
+constexpr std::size_t kMostParts = 4096;
 constexpr auto kDutyTurn = std::chrono::minutes(10);
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
+/// Puts a peer's answer together. Returns an empty text if it builds on a
+/// document that is no longer the one in force here.
+std::string
+TextOf(const wire::DocumentReply& aReply, const document::Document* aCurrent)
+{
+  const bool builds = aReply.base.generation > 0;
+  const bool fits = aCurrent != nullptr &&
+                    aCurrent->generation == aReply.base.generation &&
+                    ShortDigest(aCurrent->digest) == aReply.base.digest;
+  if (builds && !fits) {
+    return "";
+  }
+  std::vector<document::DeltaPart> parts;
+  for (const auto& part : aReply.parts) {
+    parts.push_back({ part.first, part.count, part.text });
+  }
+  const std::string base = builds ? aCurrent->text : "";
+  return document::ApplyDelta(base, parts).value_or("");
+}
+
 } // namespace
 
 std::string
@@ -157,21 +180,55 @@
 asio::awaitable<void>
 ConfigService::Fetch(std::string aAddress)
 {
-  wire::FrameBody request = wire::DocumentRequest{};
+  wire::FrameBody request = wire::DocumentRequest{ Head() };
   const auto answer =
     co_await mParts.link->Ask(aAddress, std::move(request), kFetchBound);
   const auto* reply =
     answer ? std::get_if<wire::DocumentReply>(&*answer) : nullptr;
-  if (reply != nullptr && !reply->text.empty()) {
-    Offer("peer " + aAddress, reply->text);
+  if (reply != nullptr) {
+    const auto text = TextOf(*reply, mInForce.Current().get());
+    Offer("peer " + aAddress, text);
   }
   mFetching = false;
 }
 
+wire::DocumentReply
+ConfigService::Answer(const wire::DocumentRequest& aRequest) const
+{
+  wire::DocumentReply reply;
+  const auto& current = mInForce.Current();
+  if (!current) {
+    return reply;
+  }
+  std::string base;
+  for (const auto& former : mFormer) {
+    const bool same = former->generation == aRequest.have.generation &&
+                      ShortDigest(former->digest) == aRequest.have.digest;
+    if (same) {
+      base = former->text;
+      reply.base = aRequest.have;
+    }
+  }
+  const auto delta = document::MakeDelta(base, current->text);
+  if (delta.size() > kMostParts) {
+    reply.base = {};
+    reply.parts.push_back({ 0, 0, current->text });
+    return reply;
+  }
+  for (const auto& part : delta) {
+    reply.parts.push_back({ part.first, part.count, part.text });
+  }
+  return reply;
+}
+
 void
 ConfigService::Offer(const std::string& aSource, const std::string& aText)
 {
+  if (aText.empty()) {
+    return;
+  }
   const auto before = Head();
+  const auto former = mInForce.Current();
   std::vector<Fault> faults;
   const auto result = mInForce.Offer(aSource, aText, faults);
   mParts.metrics->Count("documents_offered_total",
@@ -182,6 +239,12 @@
     case document::OfferResult::kAccepted:
     case document::OfferResult::kRaceWon:
       mParts.cell->Store(mInForce.Current());
+      if (former) {
+        mFormer.push_back(former);
+      }
+      if (mFormer.size() > kFormerHeld) {
+        mFormer.pop_front();
+      }
       Report(result, aSource, before, faults);
       mParts.onAccepted(*mInForce.Current());
       return;
--- a/src/node/config_service.h
+++ b/src/node/config_service.h
@@ -13,7 +13,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <deque>
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +49,10 @@
   /// the one in force here.
   void NoteHead(const std::string& aAddress, const wire::DocumentHead& aHead);
 
+  /// Answers a peer that asks for the document in force: with what changed
+  /// since the peer's own, if that one was in force here lately.
+  wire::DocumentReply Answer(const wire::DocumentRequest& aRequest) const;
+
   /// Returns the document in force in short.
   wire::DocumentHead Head() const;
 
@@ -66,6 +72,8 @@
 
   ConfigServiceParts mParts;
   document::InForce mInForce;
+  /// Documents that were in force before, the latest last.
+  std::deque<std::shared_ptr<const document::Document>> mFormer;
   bool mFetching = false;
   /// Digests of documents that were refused; not fetched again.
   std::set<std::string> mRefused;
--- a/src/node/slot_service.cpp
+++ b/src/node/slot_service.cpp
@@ -12,6 +12,11 @@
 constexpr Duration kIdlePeriod = Milliseconds(400);
 constexpr Duration kBusyPeriod = Milliseconds(150);
 constexpr Duration kWaitingPeriod = Milliseconds(40);
+constexpr Duration kLease = Seconds(1);
+constexpr std::size_t kBackendsPerShard = 24;
+/// Up to this many shards, a VM asks the owners of all zones at any time;
+/// beyond, those of other zones only while it uses or needs them.
+constexpr std::size_t kShardsAskedAlways = 8;
 
 std::vector<std::string>
 SlotsIn(const std::vector<wire::MemberRecord>& aLive, const std::string& aZone)
@@ -33,129 +38,190 @@
 {
 }
 
+void
+SlotService::AddBackend(std::map<ShardName, Shard>& aShards,
+                        const document::BackendServer& aBackend) const
+{
+  std::uint16_t number = 0;
+  ShardName name{ aBackend.service, aBackend.zone, number };
+  while (aShards[name].names.size() == kBackendsPerShard) {
+    std::get<2>(name) = ++number;
+  }
+  auto& shard = aShards[name];
+  shard.names.push_back(aBackend.name);
+  shard.backends.push_back(
+    { aBackend.name, aBackend.slots, aBackend.maxSlots, true });
+}
+
 void
 SlotService::Configure(const document::Document& aDocument)
 {
-  std::map<PoolName, Pool> next;
+  std::vector<const document::BackendServer*> engines;
   for (const auto& backend : aDocument.backends) {
     const auto* service = aDocument.FindService(backend.service);
-    if (service->type != document::ServiceType::kModel) {
-      continue;
+    if (service->type == document::ServiceType::kModel) {
+      engines.push_back(&backend);
     }
-    auto& pool = next[{ backend.service, backend.zone }];
-    pool.service = backend.service;
-    pool.zone = backend.zone;
-    pool.backends.push_back(
-      { backend.name, backend.slots, backend.maxSlots, true });
   }
-  for (auto& [name, pool] : next) {
+  std::sort(engines.begin(), engines.end(), [](const auto* aL, const auto* aR) {
+    return aL->name < aR->name;
+  });
+  std::map<ShardName, Shard> next;
+  for (const auto* engine : engines) {
+    AddBackend(next, *engine);
+  }
+  for (auto& [name, shard] : next) {
+    shard.limits.assign(shard.names.size(), 0);
     const auto owner = mOwners.find(name);
     if (owner != mOwners.end()) {
-      owner->second.SetBackends(pool.backends);
-    }
-    const auto old = mPools.find(name);
-    if (old != mPools.end()) {
-      pool.limits = old->second.limits;
+      owner->second.SetBackends(shard.backends);
     }
   }
-  mPools = std::move(next);
+  mShards = std::move(next);
+  mGeneration = aDocument.generation;
   MembersChanged();
 }
 
 void
 SlotService::MembersChanged()
 {
-  for (auto& [name, pool] : mPools) {
-    ChooseOwner(pool);
-    if (pool.ownerSlot != mParts.slot) {
+  const auto live = mParts.live();
+  mVms = std::max(1, static_cast<int>(live.size()));
+  for (auto& [name, shard] : mShards) {
+    ChooseOwner(name, shard, live);
+    if (shard.ownerSlot != mParts.slot) {
       mOwners.erase(name);
     }
   }
 }
 
 void
-SlotService::ChooseOwner(Pool& aPool) const
+SlotService::ChooseOwner(const ShardName& aName,
+                         Shard& aShard,
+                         const std::vector<wire::MemberRecord>& aLive) const
 {
-  const auto live = mParts.live();
-  auto candidates = SlotsIn(live, aPool.zone);
+  const auto& [service, zone, number] = aName;
+  auto candidates = SlotsIn(aLive, zone);
   if (candidates.empty()) {
-    for (const auto& record : live) {
+    for (const auto& record : aLive) {
       candidates.push_back(record.slot);
     }
   }
-  const auto ranked = RankByRendezvous(
-    "slots " + aPool.service + " " + aPool.zone, std::move(candidates));
-  aPool.ownerSlot = ranked.empty() ? mParts.slot : ranked.front();
-  for (const auto& record : live) {
-    if (record.slot == aPool.ownerSlot) {
-      aPool.ownerAddress = record.address;
+  const auto ranked = RankByRendezvous("slots " + service + " " + zone + " " +
+                                         std::to_string(number),
+                                       std::move(candidates));
+  aShard.ownerSlot = ranked.empty() ? mParts.slot : ranked.front();
+  for (const auto& record : aLive) {
+    if (record.slot == aShard.ownerSlot) {
+      aShard.ownerAddress = record.address;
     }
   }
 }
 
+bool
+SlotService::IsNear(const ShardName& aName) const
+{
+  return mShards.size() <= kShardsAskedAlways ||
+         std::get<1>(aName) == mParts.zone;
+}
+
 void
 SlotService::Tick(TimePoint aNow)
 {
-  for (auto& [name, pool] : mPools) {
-    const auto demand = mParts.scheduler->Demand(pool.service, aNow);
+  for (auto& [name, shard] : mShards) {
+    const auto demand = mParts.scheduler->Demand(std::get<0>(name), aNow);
     const bool waiting = !demand.waitingByTier.empty();
-    const bool early = waiting && aNow - pool.lastDemand >= kWaitingPeriod;
-    if (aNow >= pool.nextDemand || early) {
-      SendDemand(pool, aNow);
+    const bool wanted = IsNear(name) || waiting || shard.busy;
+    if (!wanted) {
+      shard.askedSince = {};
+      for (const auto& backend : shard.names) {
+        mParts.scheduler->SetGrant(backend, 0, aNow + kLease);
+      }
+      continue;
+    }
+    const bool early = waiting && aNow - shard.lastDemand >= kWaitingPeriod;
+    if (aNow >= shard.nextDemand || early) {
+      SendDemand(name, shard, aNow);
+      FallBack(shard, aNow);
     }
   }
 }
 
+/// Where no owner answers for a lease time, the equal part that each VM has
+/// without one is used.
+void
+SlotService::FallBack(Shard& aShard, TimePoint aNow)
+{
+  if (aNow - aShard.askedSince < kLease) {
+    return;
+  }
+  for (const auto& backend : aShard.backends) {
+    const int part = std::max(1, backend.slots / mVms);
+    mParts.scheduler->SetGrant(backend.name, part, aNow + kLease);
+  }
+}
+
 wire::SlotDemand
-SlotService::DemandOf(Pool& aPool, TimePoint aNow)
+SlotService::DemandOf(const ShardName& aName, Shard& aShard, TimePoint aNow)
 {
-  const auto local = mParts.scheduler->Demand(aPool.service, aNow);
+  const auto& [service, zone, number] = aName;
+  const auto local = mParts.scheduler->Demand(service, aNow);
   wire::SlotDemand demand;
-  demand.service = aPool.service;
-  demand.zone = aPool.zone;
+  demand.service = service;
+  demand.zone = zone;
+  demand.shard = number;
   demand.shedTier = static_cast<std::int8_t>(local.shedTier);
   for (const int count : local.waitingByTier) {
     demand.waitingByTier.push_back(
       static_cast<std::uint16_t>(std::min(count, 65535)));
   }
-  aPool.busy = !local.waitingByTier.empty();
-  for (const auto& load :
-       mParts.scheduler->TakeLoads(aPool.service, aPool.zone)) {
-    aPool.busy = aPool.busy || load.inFlight > 0;
-    demand.uses.push_back(
-      { load.name,
-        static_cast<std::uint16_t>(load.inFlight),
-        static_cast<std::uint16_t>(load.finished),
-        static_cast<std::uint16_t>(load.late),
-        static_cast<std::uint16_t>(aPool.limits[load.name]) });
+  aShard.busy = !local.waitingByTier.empty();
+  const auto loads = mParts.scheduler->TakeLoads(aShard.names);
+  for (std::size_t i = 0; i < loads.size(); ++i) {
+    const auto& load = loads[i];
+    if (load.inFlight == 0 && load.finished == 0) {
+      continue;
+    }
+    aShard.busy = aShard.busy || load.inFlight > 0;
+    demand.uses.push_back({ static_cast<std::uint8_t>(i),
+                            static_cast<std::uint16_t>(load.inFlight),
+                            static_cast<std::uint16_t>(load.finished),
+                            static_cast<std::uint16_t>(load.late),
+                            static_cast<std::uint16_t>(aShard.limits[i]) });
   }
   return demand;
 }
 
 void
-SlotService::SendDemand(Pool& aPool, TimePoint aNow)
+SlotService::SendDemand(const ShardName& aName, Shard& aShard, TimePoint aNow)
 {
-  const auto demand = DemandOf(aPool, aNow);
-  aPool.lastDemand = aNow;
-  aPool.nextDemand = aNow + (aPool.busy ? kBusyPeriod : kIdlePeriod);
-  if (aPool.ownerSlot == mParts.slot) {
-    TakeGrants(OwnerOf(aPool, aNow).Handle(mParts.slot, demand, aNow), aNow);
+  const auto demand = DemandOf(aName, aShard, aNow);
+  aShard.lastDemand = aNow;
+  aShard.nextDemand = aNow + (aShard.busy ? kBusyPeriod : kIdlePeriod);
+  if (aShard.askedSince == TimePoint{}) {
+    aShard.askedSince = aNow;
+  }
+  if (aShard.ownerSlot == mParts.slot) {
+    auto& owner = OwnerOf(aName, aShard, aNow);
+    TakeGrants(owner.Handle(mParts.slot, demand, aNow), aNow);
   } else {
-    mParts.link->Send(aPool.ownerAddress, demand);
+    mParts.link->Send(aShard.ownerAddress, demand);
   }
   mParts.metrics->Count("slot_demands_total");
 }
 
 slots::SlotOwner&
-SlotService::OwnerOf(const Pool& aPool, TimePoint aNow)
+SlotService::OwnerOf(const ShardName& aName,
+                     const Shard& aShard,
+                     TimePoint aNow)
 {
-  const PoolName name{ aPool.service, aPool.zone };
-  const auto found = mOwners.find(name);
+  const auto found = mOwners.find(aName);
   if (found != mOwners.end()) {
     return found->second;
   }
-  auto& owner = mOwners.emplace(name, slots::SlotOwner({}, aNow)).first->second;
-  owner.SetBackends(aPool.backends);
+  auto& owner =
+    mOwners.emplace(aName, slots::SlotOwner({}, aNow)).first->second;
+  owner.SetBackends(aShard.backends);
   return owner;
 }
 
@@ -163,13 +229,17 @@
 SlotService::Handle(const wire::Header& aHeader,
                     const wire::DatagramBody& aBody)
 {
+  if (aHeader.head.generation != mGeneration) {
+    return; // Indexes mean servers of one document only.
+  }
   const auto now = Clock::now();
   if (const auto* demand = std::get_if<wire::SlotDemand>(&aBody)) {
-    const auto pool = mPools.find({ demand->service, demand->zone });
-    if (pool != mPools.end()) {
-      mParts.link->Send(
-        aHeader.sender.address,
-        OwnerOf(pool->second, now).Handle(aHeader.sender.slot, *demand, now));
+    const auto shard =
+      mShards.find({ demand->service, demand->zone, demand->shard });
+    if (shard != mShards.end()) {
+      auto& owner = OwnerOf(shard->first, shard->second, now);
+      mParts.link->Send(aHeader.sender.address,
+                        owner.Handle(aHeader.sender.slot, *demand, now));
     }
   } else if (const auto* grants = std::get_if<wire::SlotGrants>(&aBody)) {
     TakeGrants(*grants, now);
@@ -179,17 +249,22 @@
 void
 SlotService::TakeGrants(const wire::SlotGrants& aGrants, TimePoint aNow)
 {
-  const auto pool = mPools.find({ aGrants.service, aGrants.zone });
-  if (pool == mPools.end()) {
+  const auto found =
+    mShards.find({ aGrants.service, aGrants.zone, aGrants.shard });
+  if (found == mShards.end()) {
     return;
   }
+  auto& shard = found->second;
+  shard.askedSince = {};
   // Counted from the demand, so that the lease ends here before its owner
   // takes it to have ended.
-  const auto begun = std::min(aNow, pool->second.lastDemand);
+  const auto begun = std::min(aNow, shard.lastDemand);
   const auto until = begun + Milliseconds(aGrants.leaseMillis);
   for (const auto& grant : aGrants.grants) {
-    mParts.scheduler->SetGrant(grant.backend, grant.slots, until);
-    pool->second.limits[grant.backend] = grant.limit;
+    if (grant.index < shard.names.size()) {
+      mParts.scheduler->SetGrant(shard.names[grant.index], grant.slots, until);
+      shard.limits[grant.index] = grant.limit;
+    }
   }
   if (aGrants.shedTier >= 0) {
     mParts.apply(
@@ -201,11 +276,11 @@
 SlotService::DropGrants()
 {
   const auto now = Clock::now();
-  for (auto& [name, pool] : mPools) {
-    for (const auto& backend : pool.backends) {
-      mParts.scheduler->SetGrant(backend.name, 0, now);
+  for (auto& [name, shard] : mShards) {
+    for (const auto& backend : shard.names) {
+      mParts.scheduler->SetGrant(backend, 0, now);
     }
-    pool.nextDemand = now;
+    shard.nextDemand = now;
   }
   mOwners.clear();
 }
--- a/src/node/slot_service.h
+++ b/src/node/slot_service.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace magnoliatide::node {
@@ -22,6 +23,7 @@
   telemetry::Metrics* metrics = nullptr;
   policy::Scheduler* scheduler = nullptr;
   std::string slot;
+  std::string zone;
   /// Carries out decisions of the scheduler.
   std::function<void(const policy::Decisions&)> apply;
   /// Returns the live VMs, this one included.
@@ -47,31 +49,45 @@
   void DropGrants();
 
 private:
-  /// The backend servers of one service in one zone.
-  struct Pool
+  /// Names a shard: service, zone and number.
+  using ShardName = std::tuple<std::string, std::string, std::uint16_t>;
+
+  /// Some of the backend servers of one service in one zone: few enough for
+  /// their grants to fit a datagram.
+  struct Shard
   {
-    std::string service;
-    std::string zone;
     std::vector<slots::OwnedBackend> backends;
+    std::vector<std::string> names; ///< Of the backends, in their order.
     std::string ownerSlot;
     std::string ownerAddress;
     TimePoint nextDemand{};
     TimePoint lastDemand{};
+    TimePoint askedSince{}; ///< First demand since the last grant.
     bool busy = false;
-    std::map<std::string, int> limits; ///< As the owner told last.
+    std::vector<int> limits; ///< As the owner told last, by index.
   };
 
-  using PoolName = std::pair<std::string, std::string>;
-
-  void ChooseOwner(Pool& aPool) const;
-  void SendDemand(Pool& aPool, TimePoint aNow);
-  wire::SlotDemand DemandOf(Pool& aPool, TimePoint aNow);
+  void AddBackend(std::map<ShardName, Shard>& aShards,
+                  const document::BackendServer& aBackend) const;
+  void ChooseOwner(const ShardName& aName,
+                   Shard& aShard,
+                   const std::vector<wire::MemberRecord>& aLive) const;
+  bool IsNear(const ShardName& aName) const;
+  void SendDemand(const ShardName& aName, Shard& aShard, TimePoint aNow);
+  void FallBack(Shard& aShard, TimePoint aNow);
+  wire::SlotDemand DemandOf(const ShardName& aName,
+                            Shard& aShard,
+                            TimePoint aNow);
   void TakeGrants(const wire::SlotGrants& aGrants, TimePoint aNow);
-  slots::SlotOwner& OwnerOf(const Pool& aPool, TimePoint aNow);
+  slots::SlotOwner& OwnerOf(const ShardName& aName,
+                            const Shard& aShard,
+                            TimePoint aNow);
 
   SlotServiceParts mParts;
-  std::map<PoolName, Pool> mPools;
-  std::map<PoolName, slots::SlotOwner> mOwners;
+  std::uint64_t mGeneration = 0;
+  int mVms = 1;
+  std::map<ShardName, Shard> mShards;
+  std::map<ShardName, slots::SlotOwner> mOwners;
 };
 
 } // namespace magnoliatide::node
--- a/src/node/vm.cpp
+++ b/src/node/vm.cpp
@@ -172,6 +172,7 @@
     parts.metrics = &mMetrics;
     parts.scheduler = &mScheduler;
     parts.slot = mSettings.slot;
+    parts.zone = mSettings.Zone();
     parts.live = [this] { return mMembers.Live(); };
     parts.apply = [this](const policy::Decisions& aDecisions) {
       mGateway.Apply(aDecisions);
@@ -363,9 +364,8 @@
                             const wire::FrameBody& aBody)
   {
     mConfig.NoteHead(aHeader.sender.address, aHeader.head);
-    if (std::holds_alternative<wire::DocumentRequest>(aBody)) {
-      const auto document = mDocument.Load();
-      return wire::DocumentReply{ document ? document->text : "" };
+    if (const auto* request = std::get_if<wire::DocumentRequest>(&aBody)) {
+      return mConfig.Answer(*request);
     }
     if (const auto* sync = std::get_if<wire::SyncRequest>(&aBody)) {
       mMembers.Absorb(sync->gossip, Clock::now());
--- a/src/policy/backend_book.cpp
+++ b/src/policy/backend_book.cpp
@@ -473,21 +473,19 @@
 }
 
 std::vector<BackendLoad>
-BackendBook::TakeLoads(const std::string& aService, const std::string& aZone)
+BackendBook::TakeLoads(const std::vector<std::string>& aNames)
 {
   std::vector<BackendLoad> loads;
-  const auto found = mPools.find(aService);
-  if (found == mPools.end()) {
-    return loads;
-  }
-  for (auto* state : found->second.states) {
-    if (state->config.zone != aZone) {
+  for (const auto& name : aNames) {
+    const auto found = mStates.find(name);
+    if (found == mStates.end()) {
+      loads.push_back({ name, 0, 0, 0 });
       continue;
     }
-    loads.push_back(
-      { state->config.name, state->inFlight, state->finished, state->late });
-    state->finished = 0;
-    state->late = 0;
+    auto& state = found->second;
+    loads.push_back({ name, state.inFlight, state.finished, state.late });
+    state.finished = 0;
+    state.late = 0;
   }
   return loads;
 }
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -219,7 +219,7 @@
     return;
   }
   Expire(state, aNow, aOut);
-  const bool nobodyAhead = state.queue.CostAhead(aWork.tier) == 0;
+  const bool nobodyAhead = !state.queue.AnyAhead(aWork.tier);
   if (nobodyAhead && StartNow(aWork, aNow, aOut) == Fit::kStarts) {
     return;
   }
@@ -383,11 +383,11 @@
 Duration
 Scheduler::PredictWait(ServiceState& aState, const Work& aWork, TimePoint aNow)
 {
-  const double ahead = aState.queue.CostAhead(aWork.tier);
-  if (ahead <= 0) {
+  if (!aState.queue.AnyAhead(aWork.tier)) {
     aState.busySince = aNow;
     return Duration::zero();
   }
+  const double ahead = aState.queue.CostAhead(aWork);
   // The rate is known only after the queue was busy for its memory.
   if (aNow - aState.busySince < kRateMemory || aState.startedCost <= 0) {
     return Duration::zero();
@@ -543,10 +543,10 @@
 }
 
 std::vector<BackendLoad>
-Scheduler::TakeLoads(const std::string& aService, const std::string& aZone)
+Scheduler::TakeLoads(const std::vector<std::string>& aNames)
 {
   std::lock_guard<std::mutex> lock(mMutex);
-  return mBook.TakeLoads(aService, aZone);
+  return mBook.TakeLoads(aNames);
 }
 
 std::vector<BackendView>
--- a/src/policy/wait_queue.cpp
+++ b/src/policy/wait_queue.cpp
@@ -20,9 +20,13 @@
   auto& kind = tier.kinds[aWork.kind];
   auto& team = kind.teams[aWork.team];
   kind.weight = std::max(aWork.kindShare, kUnsharedWeight);
-  team.weight = aWork.teamWeight;
+  if (team.ids.empty()) {
+    team.weight = aWork.teamWeight;
+    kind.teamWeight += team.weight;
+  }
   team.ids.push_back(aWork.id);
   team.cost += cost;
+  kind.cost += cost;
   tier.count += 1;
   tier.cost += cost;
   kind.order.Activate(aWork.team);
@@ -84,14 +88,18 @@
   }
   team.ids.erase(std::find(team.ids.begin(), team.ids.end(), aId));
   team.cost -= cost;
+  kind.cost -= cost;
   tier.count -= 1;
   tier.cost = tier.count == 0 ? 0 : tier.cost - cost;
   mLatestStarts.erase({ node.mapped().latestStart, aId });
   if (team.ids.empty()) {
     kind.order.Deactivate(work.team);
+    kind.teamWeight -= team.weight;
     kind.teams.erase(work.team);
   }
   if (kind.teams.empty()) {
+    kind.cost = 0;
+    kind.teamWeight = 0;
     tier.order.Deactivate(work.kind);
   }
   return work;
@@ -172,15 +180,53 @@
 }
 
 double
-WaitQueue::CostAhead(int aTier) const
+WaitQueue::CostAhead(const Work& aWork) const
 {
   double cost = 0;
   for (const auto& [number, tier] : mTiers) {
-    cost += number <= aTier ? tier.cost : 0;
+    if (number < aWork.tier) {
+      cost += tier.cost;
+    } else if (number == aWork.tier && tier.count > 0) {
+      cost += CostAheadInTier(tier, aWork);
+    }
   }
   return cost;
 }
 
+double
+WaitQueue::CostAheadInTier(const TierLine& aTier, const Work& aWork)
+{
+  double weights = 0;
+  for (const auto& [name, kind] : aTier.kinds) {
+    weights += kind.teams.empty() ? 0 : kind.weight;
+  }
+  const auto kind = aTier.kinds.find(aWork.kind);
+  const bool kindWaits =
+    kind != aTier.kinds.end() && !kind->second.teams.empty();
+  if (!kindWaits) {
+    return 0; // Its kind is served next.
+  }
+  const auto& line = kind->second;
+  const auto team = line.teams.find(aWork.team);
+  const bool teamWaits = team != line.teams.end();
+  const double own = teamWaits ? team->second.cost : 0;
+  const double others = line.teamWeight - (teamWaits ? team->second.weight : 0);
+  const double passing = own * others / aWork.teamWeight;
+  const double inKind = std::min(line.cost, own + passing);
+  return std::min(aTier.cost, inKind * weights / line.weight);
+}
+
+bool
+WaitQueue::AnyAhead(int aTier) const
+{
+  for (const auto& [number, tier] : mTiers) {
+    if (number <= aTier && tier.count > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 int
 WaitQueue::LowestTier() const
 {
--- a/src/slots/slot_owner.cpp
+++ b/src/slots/slot_owner.cpp
@@ -25,6 +25,7 @@
 SlotOwner::SetBackends(const std::vector<OwnedBackend>& aBackends)
 {
   std::map<std::string, Backend> next;
+  mNames.clear();
   for (const auto& config : aBackends) {
     const auto old = mBackends.find(config.name);
     Backend backend;
@@ -34,6 +35,7 @@
       backend.limit = config.slots;
     }
     backend.config = config;
+    mNames.push_back(config.name);
     next.emplace(config.name, std::move(backend));
   }
   mBackends = std::move(next);
@@ -45,6 +47,7 @@
                   TimePoint aNow)
 {
   mVms[aVm] = { aDemand.waitingByTier, aDemand.shedTier, aNow };
+  ForgetUse(aVm);
   for (const auto& use : aDemand.uses) {
     NoteUse(aVm, use, aNow);
   }
@@ -52,12 +55,14 @@
   wire::SlotGrants grants;
   grants.service = aDemand.service;
   grants.zone = aDemand.zone;
+  grants.shard = aDemand.shard;
   grants.leaseMillis = static_cast<std::uint32_t>(
     std::chrono::duration_cast<Milliseconds>(mOptions.lease).count());
-  for (auto& [name, backend] : mBackends) {
+  for (std::size_t i = 0; i < mNames.size(); ++i) {
+    auto& backend = mBackends.at(mNames[i]);
     Adjust(backend, aNow);
     grants.grants.push_back(
-      { name,
+      { static_cast<std::uint8_t>(i),
         static_cast<std::uint16_t>(GrantFor(aVm, backend, aNow)),
         static_cast<std::uint16_t>(backend.limit) });
   }
@@ -71,16 +76,27 @@
   return grants;
 }
 
+/// A server that a demand leaves out is not used by its VM.
+void
+SlotOwner::ForgetUse(const std::string& aVm)
+{
+  for (auto& [name, backend] : mBackends) {
+    const auto lease = backend.leases.find(aVm);
+    if (lease != backend.leases.end()) {
+      lease->second.inFlight = 0;
+    }
+  }
+}
+
 void
 SlotOwner::NoteUse(const std::string& aVm,
                    const wire::SlotUse& aUse,
                    TimePoint aNow)
 {
-  const auto found = mBackends.find(aUse.backend);
-  if (found == mBackends.end()) {
+  if (aUse.index >= mNames.size()) {
     return;
   }
-  auto& backend = found->second;
+  auto& backend = mBackends.at(mNames[aUse.index]);
   if (!backend.adopted && aUse.limit > 0 && aNow - mSince < mOptions.lease) {
     backend.limit = aUse.limit;
     backend.adopted = true;
--- a/src/slots/slot_owner_test.cpp
+++ b/src/slots/slot_owner_test.cpp
@@ -26,8 +26,7 @@
   demand.service = "s";
   demand.zone = "z";
   demand.waitingByTier = std::move(aWaiting);
-  demand.uses.push_back(
-    { "e", static_cast<std::uint16_t>(aInFlight), 0, 0, 0 });
+  demand.uses.push_back({ 0, static_cast<std::uint16_t>(aInFlight), 0, 0, 0 });
   return demand;
 }
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -98,17 +98,21 @@
   } else if constexpr (kIs<T, ClaimOutcome>) {
     Each(aVisit, aV.key, aV.epoch, aV.owner, aV.outcome, aV.answer);
   } else if constexpr (kIs<T, SlotUse>) {
-    Each(aVisit, aV.backend, aV.inFlight, aV.finished, aV.late, aV.limit);
+    Each(aVisit, aV.index, aV.inFlight, aV.finished, aV.late, aV.limit);
   } else if constexpr (kIs<T, SlotDemand>) {
-    Each(aVisit, aV.service, aV.zone, aV.waitingByTier, aV.shedTier, aV.uses);
+    Each(aVisit, aV.service, aV.zone, aV.shard, aV.waitingByTier);
+    Each(aVisit, aV.shedTier, aV.uses);
   } else if constexpr (kIs<T, SlotGrant>) {
-    Each(aVisit, aV.backend, aV.slots, aV.limit);
+    Each(aVisit, aV.index, aV.slots, aV.limit);
   } else if constexpr (kIs<T, SlotGrants>) {
-    Each(aVisit, aV.service, aV.zone, aV.leaseMillis, aV.shedTier, aV.grants);
+    Each(aVisit, aV.service, aV.zone, aV.shard, aV.leaseMillis);
+    Each(aVisit, aV.shedTier, aV.grants);
   } else if constexpr (kIs<T, DocumentRequest>) {
-    static_cast<void>(aVisit);
+    Each(aVisit, aV.have);
+  } else if constexpr (kIs<T, DocumentPart>) {
+    Each(aVisit, aV.first, aV.count, aV.text);
   } else if constexpr (kIs<T, DocumentReply>) {
-    Each(aVisit, aV.text);
+    Each(aVisit, aV.base, aV.parts);
   } else if constexpr (kIs<T, SyncRequest> || kIs<T, SyncReply>) {
     Each(aVisit, aV.gossip);
   } else if constexpr (kIs<T, CopyRequest>) {
