--- a/include/magnoliatide/telemetry/audit.h
+++ b/include/magnoliatide/telemetry/audit.h
@@ -31,6 +31,10 @@
 std::string
 AuditDigest(const AuditRecord& aRecord, const std::string& aPrevious);
 
+/// Returns records as a JSON array.
+std::string
+ToJson(const std::vector<AuditRecord>& aRecords);
+
 /// Returns the number of the first record whose digest does not fit, or 0.
 std::uint64_t
 FirstBroken(const std::vector<AuditRecord>& aRecords);
--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -94,7 +95,12 @@
   std::uint64_t number = 0;
   std::uint64_t process = 0;
 
-  auto operator<=>(const Incarnation&) const = default;
+  bool operator==(const Incarnation&) const = default;
+  bool operator<(const Incarnation& aOther) const
+  {
+    return std::tie(number, process) < std::tie(aOther.number, aOther.process);
+  }
+  bool operator>(const Incarnation& aOther) const { return aOther < *this; }
 };
 
 struct SlotIncarnation
@@ -108,7 +114,12 @@
   std::uint32_t round = 0;
   std::uint64_t proposer = 0;
 
-  auto operator<=>(const Ballot&) const = default;
+  bool operator==(const Ballot&) const = default;
+  bool operator<(const Ballot& aOther) const
+  {
+    return std::tie(round, proposer) < std::tie(aOther.round, aOther.proposer);
+  }
+  bool operator>(const Ballot& aOther) const { return aOther < *this; }
 };
 
 /// The one send of a key that may run.
--- a/src/backend/pool.cpp
+++ b/src/backend/pool.cpp
@@ -95,8 +95,12 @@
   const auto& options = mStore->options;
   const auto result = co_await http::Call(
     aPeer, std::move(request), options.connectBound, options.localHost);
-  co_return result.status == http::CallStatus::kDone&& result.response.status ==
-    200;
+  Health health;
+  health.answered =
+    result.status == http::CallStatus::kDone && result.response.status == 200;
+  health.incarnation =
+    std::string(http::Find(result.response.headers, kIncarnationHeader));
+  co_return health;
 }
 
 void
--- a/src/cli/fleet_commands.cpp
+++ b/src/cli/fleet_commands.cpp
@@ -168,6 +168,20 @@
            Text(aValue, "digest") };
 }
 
+void
+PrintAudit(const std::vector<telemetry::AuditRecord>& aRecords, bool aJson)
+{
+  if (aJson) {
+    std::cout << telemetry::ToJson(aRecords) << "\n";
+    return;
+  }
+  for (const auto& record : aRecords) {
+    std::cout << record.time << " " << record.observer << " " << record.subject
+              << ": " << record.from << " -> " << record.to << " ("
+              << record.cause << ")\n";
+  }
+}
+
 } // namespace
 
 ExitCode
@@ -219,25 +233,7 @@
   std::stable_sort(merged.begin(), merged.end(), [](const auto& aL, auto& aR) {
     return aL.time < aR.time;
   });
-  json::array array;
-  for (const auto& record : merged) {
-    if (!aFleet.json) {
-      std::cout << record.time << " " << record.observer << " "
-                << record.subject << ": " << record.from << " -> " << record.to
-                << " (" << record.cause << ")\n";
-    }
-    array.push_back(json::object{ { "number", record.number },
-                                  { "observer", record.observer },
-                                  { "time", record.time },
-                                  { "subject", record.subject },
-                                  { "from", record.from },
-                                  { "to", record.to },
-                                  { "cause", record.cause },
-                                  { "digest", record.digest } });
-  }
-  if (aFleet.json) {
-    std::cout << json::serialize(array) << "\n";
-  }
+  PrintAudit(merged, aFleet.json);
   for (const auto& [observer, trail] : trails) {
     const auto broken = telemetry::FirstBroken(trail);
     if (broken > 0) {
--- a/src/node/admin_service.cpp
+++ b/src/node/admin_service.cpp
@@ -92,8 +92,10 @@
     response = http::JsonResponse(200, StatusJson());
   } else if (path == "/audit") {
     const auto after = http::QueryOf(request, "after");
-    response = http::JsonResponse(
-      200, AuditJson(std::strtoull(after.c_str(), nullptr, 10)));
+    response =
+      http::JsonResponse(200,
+                         telemetry::ToJson(mParts.audit->Since(
+                           std::strtoull(after.c_str(), nullptr, 10))));
   } else if (path == "/document") {
     const auto document = mParts.document->Load();
     response =
@@ -134,21 +136,4 @@
   return json::serialize(status);
 }
 
-std::string
-AdminService::AuditJson(std::uint64_t aAfter) const
-{
-  json::array records;
-  for (const auto& record : mParts.audit->Since(aAfter)) {
-    records.push_back(json::object{ { "number", record.number },
-                                    { "observer", record.observer },
-                                    { "time", record.time },
-                                    { "subject", record.subject },
-                                    { "from", record.from },
-                                    { "to", record.to },
-                                    { "cause", record.cause },
-                                    { "digest", record.digest } });
-  }
-  return json::serialize(records);
-}
-
 } // namespace magnoliatide::node
--- a/src/node/admin_service.h
+++ b/src/node/admin_service.h
@@ -46,7 +46,6 @@
 private:
   bool Authorized(const http::Request& aRequest) const;
   std::string StatusJson() const;
-  std::string AuditJson(std::uint64_t aAfter) const;
 
   AdminParts mParts;
 };
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -298,10 +298,11 @@
   if (failed) {
     co_return std::nullopt;
   }
-  auto bytes = mCodec.Encode(wire::Frame{ NewHeader(), std::move(aBody) });
-  mMetrics.Count("peer_bytes_sent_total", {}, bytes.size());
-  if (!co_await WriteFrame(aSocket, std::move(bytes)) ||
-      !co_await ReadFrame(aSocket, bytes)) {
+  auto request = mCodec.Encode(wire::Frame{ NewHeader(), std::move(aBody) });
+  mMetrics.Count("peer_bytes_sent_total", {}, request.size());
+  std::string bytes;
+  const bool written = co_await WriteFrame(aSocket, std::move(request));
+  if (!written || !co_await ReadFrame(aSocket, bytes)) {
     co_return std::nullopt;
   }
   mMetrics.Count("peer_bytes_received_total", {}, bytes.size());
--- a/src/node/slot_service.cpp
+++ b/src/node/slot_service.cpp
@@ -4,6 +4,7 @@
 #include "magnoliatide/core/rendezvous.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace magnoliatide::node {
 
@@ -33,6 +34,13 @@
 
 } // namespace
 
+bool
+SlotService::ShardName::operator<(const ShardName& aOther) const
+{
+  return std::tie(service, zone, number) <
+         std::tie(aOther.service, aOther.zone, aOther.number);
+}
+
 SlotService::SlotService(SlotServiceParts aParts)
   : mParts(std::move(aParts))
 {
@@ -42,10 +50,9 @@
 SlotService::AddBackend(std::map<ShardName, Shard>& aShards,
                         const document::BackendServer& aBackend) const
 {
-  std::uint16_t number = 0;
-  ShardName name{ aBackend.service, aBackend.zone, number };
+  ShardName name{ aBackend.service, aBackend.zone, 0 };
   while (aShards[name].names.size() == kBackendsPerShard) {
-    std::get<2>(name) = ++number;
+    name.number += 1;
   }
   auto& shard = aShards[name];
   shard.names.push_back(aBackend.name);
@@ -100,16 +107,16 @@
                          Shard& aShard,
                          const std::vector<wire::MemberRecord>& aLive) const
 {
-  const auto& [service, zone, number] = aName;
-  auto candidates = SlotsIn(aLive, zone);
+  auto candidates = SlotsIn(aLive, aName.zone);
   if (candidates.empty()) {
     for (const auto& record : aLive) {
       candidates.push_back(record.slot);
     }
   }
-  const auto ranked = RankByRendezvous("slots " + service + " " + zone + " " +
-                                         std::to_string(number),
-                                       std::move(candidates));
+  const auto ranked =
+    RankByRendezvous("slots " + aName.service + " " + aName.zone + " " +
+                       std::to_string(aName.number),
+                     std::move(candidates));
   aShard.ownerSlot = ranked.empty() ? mParts.slot : ranked.front();
   for (const auto& record : aLive) {
     if (record.slot == aShard.ownerSlot) {
@@ -121,8 +128,7 @@
 bool
 SlotService::IsNear(const ShardName& aName) const
 {
-  return mShards.size() <= kShardsAskedAlways ||
-         std::get<1>(aName) == mParts.zone;
+  return mShards.size() <= kShardsAskedAlways || aName.zone == mParts.zone;
 }
 
 void
@@ -130,7 +136,7 @@
 {
   std::map<std::string, policy::ServiceDemand> demands;
   for (auto& [name, shard] : mShards) {
-    const auto [demand, fresh] = demands.try_emplace(std::get<0>(name));
+    const auto [demand, fresh] = demands.try_emplace(name.service);
     if (fresh) {
       demand->second = mParts.scheduler->Demand(demand->first, aNow);
     }
@@ -178,11 +184,10 @@
                       Shard& aShard,
                       const policy::ServiceDemand& aLocal)
 {
-  const auto& [service, zone, number] = aName;
   wire::SlotDemand demand;
-  demand.service = service;
-  demand.zone = zone;
-  demand.shard = number;
+  demand.service = aName.service;
+  demand.zone = aName.zone;
+  demand.shard = aName.number;
   demand.shedTier = static_cast<std::int8_t>(aLocal.shedTier);
   for (const int count : aLocal.waitingByTier) {
     demand.waitingByTier.push_back(
--- a/src/node/slot_service.h
+++ b/src/node/slot_service.h
@@ -12,7 +12,6 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <tuple>
 #include <vector>
 
 namespace magnoliatide::node {
@@ -49,8 +48,15 @@
   void DropGrants();
 
 private:
-  /// Names a shard: service, zone and number.
-  using ShardName = std::tuple<std::string, std::string, std::uint16_t>;
+  /// Names a shard.
+  struct ShardName
+  {
+    std::string service;
+    std::string zone;
+    std::uint16_t number = 0;
+
+    bool operator<(const ShardName& aOther) const;
+  };
 
   /// Some of the backend servers of one service in one zone: few enough for
   /// their grants to fit a datagram.
--- a/src/telemetry/audit.cpp
+++ b/src/telemetry/audit.cpp
@@ -4,6 +4,8 @@
 #include "magnoliatide/core/digest.h"
 #include "magnoliatide/telemetry/log.h"
 
+#include <boost/json.hpp>
+
 namespace magnoliatide::telemetry {
 
 std::string
@@ -16,6 +18,23 @@
                    separator + aRecord.to + separator + aRecord.cause);
 }
 
+std::string
+ToJson(const std::vector<AuditRecord>& aRecords)
+{
+  boost::json::array array;
+  for (const auto& record : aRecords) {
+    array.push_back(boost::json::object{ { "number", record.number },
+                                         { "observer", record.observer },
+                                         { "time", record.time },
+                                         { "subject", record.subject },
+                                         { "from", record.from },
+                                         { "to", record.to },
+                                         { "cause", record.cause },
+                                         { "digest", record.digest } });
+  }
+  return boost::json::serialize(array);
+}
+
 std::uint64_t
 FirstBroken(const std::vector<AuditRecord>& aRecords)
 {
