--- a/include/magnoliatide/document/document.h
+++ b/include/magnoliatide/document/document.h
@@ -104,7 +104,6 @@
 {
   Duration keyLifetime = std::chrono::hours(1);
   int claimElectors = 5;
-  std::uint64_t maxBodyBytes = 1024 * 1024;
   Duration progressBound = Seconds(10); ///< Longest silence of a backend.
   int readersPerZone = 2; ///< VMs in a zone that watch the platform.
 };
--- a/include/magnoliatide/document/settings.h
+++ b/include/magnoliatide/document/settings.h
@@ -40,8 +40,6 @@
   std::string choiceRule = "predicted";
   std::string queueRule = "tiered-fair";
   std::string slotScheme = "lease";
-  std::string certificateFile;
-  std::string keyFile;
   Duration drainTime = Seconds(60);
 
   /// Returns the availability zone, the part of the slot before the slash.
--- a/src/document/document.cpp
+++ b/src/document/document.cpp
@@ -88,7 +88,6 @@
 const Field<Limits> kLimitFields[] = {
   { "key-lifetime", &Limits::keyLifetime, false, 10, 86400 },
   { "claim-electors", &Limits::claimElectors, false, 1, 9 },
-  { "max-body-bytes", &Limits::maxBodyBytes, false, 1024, 67108864 },
   { "progress-bound", &Limits::progressBound, false, 0.2, 120 },
   { "readers-per-zone", &Limits::readersPerZone, false, 1, 16 },
 };
--- a/src/document/settings.cpp
+++ b/src/document/settings.cpp
@@ -46,11 +46,6 @@
   { "slots", &Settings::slotScheme },
 };
 
-const Field<Settings> kTlsFields[] = {
-  { "certificate", &Settings::certificateFile, true },
-  { "key", &Settings::keyFile, true },
-};
-
 /// A choice of words for a key.
 struct Words
 {
@@ -110,7 +105,6 @@
     BindAll("admin", kAdminFields, true);
     BindAll("log", kLogFields, false);
     BindAll("policy", kPolicyFields, false);
-    BindAll("tls", kTlsFields, false);
     RefuseUnknownSections();
     CheckWords();
     CheckAddresses();
@@ -147,13 +141,12 @@
   {
     for (const auto& section : mIni.sections) {
       if (mKnown.count(section.Title()) == 0) {
-        mFaults.push_back(
-          { FaultKind::kUnknownName,
-            mIni.source,
-            section.line,
-            section.Title(),
-            "no such section",
-            "use vm, platform, peers, admin, log, policy or tls" });
+        mFaults.push_back({ FaultKind::kUnknownName,
+                            mIni.source,
+                            section.line,
+                            section.Title(),
+                            "no such section",
+                            "use vm, platform, peers, admin, log or policy" });
       }
     }
   }
