--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -74,7 +74,7 @@
   load::Fleet fleet(SmallFleet("silent"));
   ASSERT_TRUE(fleet.Start());
   fleet.SetFaults(fleet.Backends()[0].address, "silent-answers=3");
-  const auto records = SendAll(fleet, { Quotes(30, Seconds(2)) }, 4);
+  const auto records = SendAll(fleet, { Quotes(90, Seconds(2)) }, 4);
   load::RunLog log;
   const auto findings = CheckRun(fleet, records, log);
   EXPECT_TRUE(findings.Passed()) << Examples(findings);
--- a/tests/cli_process_test.cpp
+++ b/tests/cli_process_test.cpp
@@ -82,20 +82,16 @@
 
 TEST_F(Cli, PromotionNeedsTheDocumentInForce)
 {
-  const auto good = Run({ "promote",
-                          Path("trial.ini"),
-                          "--target=production",
-                          "--generation=5" });
+  const auto good = Run(
+    { "promote", Path("trial.ini"), "--target=production", "--generation=5" });
   EXPECT_EQ(good.status, 0) << good.output;
   EXPECT_NE(good.output.find("name = production\ngeneration = 5\norigin = "
                              "trial:1:"),
             std::string::npos)
     << good.output.substr(0, 300);
   Write("other.ini", mFleet.DocumentText(2));
-  const auto bad = Run({ "promote",
-                         Path("other.ini"),
-                         "--target=production",
-                         "--generation=5" });
+  const auto bad = Run(
+    { "promote", Path("other.ini"), "--target=production", "--generation=5" });
   EXPECT_EQ(bad.status, 4) << bad.output;
 }
 
