--- a/include/magnoliatide/entry/key_guard.h
+++ b/include/magnoliatide/entry/key_guard.h
@@ -57,11 +57,11 @@
   /// byte is written; a true answer marks the call as sent.
   virtual bool MaySend(const std::string& aKey, std::uint64_t aAttempt) = 0;
 
-  /// Tells how the call ended.
-  virtual void End(const std::string& aKey,
-                   std::uint64_t aAttempt,
-                   KeyEnd aEnd,
-                   const http::Response& aAnswer) = 0;
+  /// Tells how the call ended, before its caller is told.
+  virtual boost::asio::awaitable<void> End(std::string aKey,
+                                           std::uint64_t aAttempt,
+                                           KeyEnd aEnd,
+                                           http::Response aAnswer) = 0;
 };
 
 } // namespace magnoliatide::entry
--- a/src/entry/gateway.cpp
+++ b/src/entry/gateway.cpp
@@ -228,7 +228,9 @@
   void WatchCaller(const JobPointer& aJob);
   void FinishRun(const JobPointer& aJob, http::CallStatus aStatus);
   void CountEnd(const Job& aJob, const char* aOutcome, std::string_view aKind);
-  void EndKey(const Job& aJob, KeyEnd aEnd, const http::Response& aAnswer);
+  asio::awaitable<void> EndKey(JobPointer aJob,
+                               KeyEnd aEnd,
+                               http::Response aAnswer);
   void NoteFirstByte(const JobPointer& aJob);
   bool NoteIncarnation(const std::string& aBackend, std::string_view aLife);
   Duration Bound(const Job& aJob) const;
@@ -342,7 +344,7 @@
     static_cast<void>(error);
     if (!verdict.start) {
       jobs.erase(id);
-      EndKey(*aJob, KeyEnd::kNotRun, {});
+      co_await EndKey(aJob, KeyEnd::kNotRun, http::Response());
       co_await Refuse(aJob, RefusalFor(verdict.reason, verdict.retryAfter));
       co_return;
     }
@@ -394,14 +396,14 @@
   if (aJob->gone) {
     aJob->report.result = policy::RunResult::kCancelled;
     FinishRun(aJob, http::CallStatus::kNotSent);
-    EndKey(*aJob, KeyEnd::kNotRun, {});
+    co_await EndKey(aJob, KeyEnd::kNotRun, http::Response());
     CountEnd(*aJob, "not-run", "cancelled");
     co_return;
   }
   if (request.guarded && !parts.guard->MaySend(request.key, aJob->attempt)) {
     aJob->report.result = policy::RunResult::kCancelled;
     FinishRun(aJob, http::CallStatus::kNotSent);
-    EndKey(*aJob, KeyEnd::kNotRun, {});
+    co_await EndKey(aJob, KeyEnd::kNotRun, http::Response());
     co_await Refuse(aJob, KeyRefusal(KeyVerdict::kUndecided));
     co_return;
   }
@@ -442,7 +444,7 @@
   if (http::Find(head.headers, "X-Request-Id") != aJob->id) {
     parts.metrics->Count("crossed_answers_total");
     aJob->connection->Close();
-    EndKey(*aJob, KeyEnd::kUnknown, {});
+    co_await EndKey(aJob, KeyEnd::kUnknown, http::Response());
     co_await Refuse(aJob,
                     Lost("crossed-answer",
                          "the backend server sent an answer to another "
@@ -470,7 +472,7 @@
     co_await ReportLoss(aJob, status);
     co_return status;
   }
-  EndKey(*aJob, KeyEnd::kAnswered, answer);
+  co_await EndKey(aJob, KeyEnd::kAnswered, answer);
   CountEnd(*aJob, answer.status < 500 ? "whole" : "backend-error", "");
   co_await aJob->exchange.Respond(std::move(answer));
   co_return status;
@@ -514,12 +516,12 @@
 Gateway::Core::ReportLoss(JobPointer aJob, http::CallStatus aStatus)
 {
   if (aStatus == http::CallStatus::kNotSent) {
-    EndKey(*aJob, KeyEnd::kNotRun, {});
+    co_await EndKey(aJob, KeyEnd::kNotRun, http::Response());
     Refusal refusal = RefusalFor(policy::DropReason::kNoBackend, Seconds(1));
     co_await Refuse(aJob, std::move(refusal));
     co_return;
   }
-  EndKey(*aJob, KeyEnd::kUnknown, {});
+  co_await EndKey(aJob, KeyEnd::kUnknown, http::Response());
   if (aStatus == http::CallStatus::kClosedByUs) {
     CountEnd(*aJob, "cancelled", "");
     co_return;
@@ -656,13 +658,12 @@
     { { "kind", work.kind }, { "outcome", aOutcome }, { "reason", aKind } });
 }
 
-void
-Gateway::Core::EndKey(const Job& aJob,
-                      KeyEnd aEnd,
-                      const http::Response& aAnswer)
+asio::awaitable<void>
+Gateway::Core::EndKey(JobPointer aJob, KeyEnd aEnd, http::Response aAnswer)
 {
-  if (aJob.request.guarded) {
-    parts.guard->End(aJob.request.key, aJob.attempt, aEnd, aAnswer);
+  if (aJob->request.guarded) {
+    co_await parts.guard->End(
+      aJob->request.key, aJob->attempt, aEnd, std::move(aAnswer));
   }
 }
 
--- a/src/node/claim_service.cpp
+++ b/src/node/claim_service.cpp
@@ -423,11 +423,11 @@
   return mAttempts.MaySend(aAttempt, Clock::now());
 }
 
-void
-ClaimService::End(const std::string&,
+asio::awaitable<void>
+ClaimService::End(std::string aKey,
                   std::uint64_t aAttempt,
                   entry::KeyEnd aEnd,
-                  const http::Response& aAnswer)
+                  http::Response aAnswer)
 {
   auto state = claims::AttemptState::kUnknown;
   claims::RecordedAnswer answer;
@@ -440,13 +440,20 @@
                aAnswer.body };
   }
   mAttempts.End(aAttempt, state, std::move(answer));
-  asio::post(*mParts.loop, [this, aAttempt] {
-    const auto attempt = mAttempts.FindNumber(aAttempt);
-    if (attempt) {
-      TellElectors(
-        aAttempt, OutcomeOf(attempt->state), ToWire(attempt->answer));
-    }
-  });
+  static_cast<void>(aKey);
+  co_await asio::co_spawn(
+    *mParts.loop, Announce(aAttempt), asio::use_awaitable);
+}
+
+/// Tells the electors what became of an attempt.
+asio::awaitable<void>
+ClaimService::Announce(std::uint64_t aAttempt)
+{
+  const auto attempt = mAttempts.FindNumber(aAttempt);
+  if (attempt) {
+    TellElectors(aAttempt, OutcomeOf(attempt->state), ToWire(attempt->answer));
+  }
+  co_return;
 }
 
 void
--- a/src/node/claim_service.h
+++ b/src/node/claim_service.h
@@ -59,10 +59,10 @@
                                                    std::uint64_t aFingerprint,
                                                    Duration aBound) override;
   bool MaySend(const std::string& aKey, std::uint64_t aAttempt) override;
-  void End(const std::string& aKey,
-           std::uint64_t aAttempt,
-           entry::KeyEnd aEnd,
-           const http::Response& aAnswer) override;
+  boost::asio::awaitable<void> End(std::string aKey,
+                                   std::uint64_t aAttempt,
+                                   entry::KeyEnd aEnd,
+                                   http::Response aAnswer) override;
 
 private:
   struct Running
@@ -108,6 +108,7 @@
                                           wire::Owner aSelf,
                                           TimePoint aEnd);
   boost::asio::awaitable<Fate> FateOf(Decided aDecided, TimePoint aEnd);
+  boost::asio::awaitable<void> Announce(std::uint64_t aAttempt);
   boost::asio::awaitable<void> CopyLoop();
   boost::asio::awaitable<void> CopyFrom(std::string aSlot,
                                         std::string aAddress);
