Take out code that nothing calls

Cause: a reading of the whole change found two accessors without a caller, a field that was never set, and an audit exchange between VMs that no VM asks for. Change: they are gone, 82 lines; behaviour stays as it is.

--- a/include/magnoliatide/claims/proposal.h
+++ b/include/magnoliatide/claims/proposal.h
@@ -69,9 +69,6 @@
   /// Returns the recorded answer; its status is 0 where none is known.
   const wire::KeyAnswer& Answer() const { return mAnswer; }
 
-  /// Returns the number of electors that voted, abstentions left out.
-  std::size_t Voters() const;
-
   /// Appends a text that differs between different states; for exploration.
   void Fingerprint(std::string& aOut) const;
 
--- a/include/magnoliatide/policy/backend_book.h
+++ b/include/magnoliatide/policy/backend_book.h
@@ -148,10 +148,6 @@
   /// where no speed was measured yet.
   Duration ShortestRun(const Work& aWork, TimePoint aNow);
 
-  /// Returns the number of requests that a service's servers can run at once
-  /// for this VM.
-  double Capacity(const std::string& aService, TimePoint aNow) const;
-
   std::vector<BackendView> View(TimePoint aNow) const;
 
 private:
--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -341,30 +341,6 @@
   KeyAnswer answer;
 };
 
-/// One record of an audit trail.
-struct AuditLine
-{
-  std::uint64_t number = 0;
-  std::string observer;
-  std::string time;
-  std::string subject;
-  std::string from;
-  std::string to;
-  std::string cause;
-  std::string digest;
-};
-
-/// Asks for the records that a VM wrote or holds for others.
-struct AuditRequest
-{
-  std::uint64_t after = 0;
-};
-
-struct AuditReply
-{
-  std::vector<AuditLine> lines;
-};
-
 /// Sent by TCP.
 using FrameBody = std::variant<DocumentRequest,
                                DocumentReply,
@@ -373,9 +349,7 @@
                                CopyRequest,
                                CopyReply,
                                OutcomeRequest,
-                               OutcomeReply,
-                               AuditRequest,
-                               AuditReply>;
+                               OutcomeReply>;
 
 } // namespace magnoliatide::wire
 
--- a/load/experiment.h
+++ b/load/experiment.h
@@ -48,7 +48,6 @@
   Findings findings;
   double prefilledTokens = 0;
   double wastedTokens = 0;
-  double controlBytesPerSecond = 0; ///< Mean for each VM.
 };
 
 /// Returns the folder of this program's build, where the others are.
--- a/src/claims/proposal.cpp
+++ b/src/claims/proposal.cpp
@@ -138,12 +138,6 @@
   return mHighestSeen > mBallot;
 }
 
-std::size_t
-Proposal::Voters() const
-{
-  return mVotes.size();
-}
-
 void
 Proposal::Fingerprint(std::string& aOut) const
 {
--- a/src/node/vm.cpp
+++ b/src/node/vm.cpp
@@ -378,29 +378,9 @@
     if (const auto* outcome = std::get_if<wire::OutcomeRequest>(&aBody)) {
       return mClaims.HandleOutcome(*outcome);
     }
-    if (const auto* audit = std::get_if<wire::AuditRequest>(&aBody)) {
-      return wire::AuditReply{ ToWire(mAudit.Since(audit->after)) };
-    }
     return wire::SyncReply{};
   }
 
-  static std::vector<wire::AuditLine> ToWire(
-    const std::vector<telemetry::AuditRecord>& aRecords)
-  {
-    std::vector<wire::AuditLine> lines;
-    for (const auto& record : aRecords) {
-      lines.push_back({ record.number,
-                        record.observer,
-                        record.time,
-                        record.subject,
-                        record.from,
-                        record.to,
-                        record.cause,
-                        record.digest });
-    }
-    return lines;
-  }
-
   void TakeMemberEvents()
   {
     const auto changes = mMembers.TakeChanges();
--- a/src/policy/backend_book.cpp
+++ b/src/policy/backend_book.cpp
@@ -526,21 +526,6 @@
   }
 }
 
-double
-BackendBook::Capacity(const std::string& aService, TimePoint aNow) const
-{
-  double slots = 0;
-  const auto found = mPools.find(aService);
-  if (found == mPools.end()) {
-    return slots;
-  }
-  for (const auto* state : found->second.states) {
-    const bool usable = !state->leaving && aNow >= state->downUntil;
-    slots += usable ? CapNow(*state, aNow) : 0;
-  }
-  return slots;
-}
-
 std::vector<BackendView>
 BackendBook::View(TimePoint aNow) const
 {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -130,13 +130,6 @@
     Each(aVisit, aV.process, aV.attempt);
   } else if constexpr (kIs<T, OutcomeReply>) {
     Each(aVisit, aV.known, aV.outcome, aV.answer);
-  } else if constexpr (kIs<T, AuditLine>) {
-    Each(aVisit, aV.number, aV.observer, aV.time, aV.subject, aV.from, aV.to);
-    Each(aVisit, aV.cause, aV.digest);
-  } else if constexpr (kIs<T, AuditRequest>) {
-    Each(aVisit, aV.after);
-  } else if constexpr (kIs<T, AuditReply>) {
-    Each(aVisit, aV.lines);
   } else {
     static_assert(kIs<T, void>, "the type is no message");
   }
