Let seeds read the store first where a fleet starts

A VM that has just started also takes itself for the first of its zone, as it knows no others yet, and watched the store beside the one whose duty that is.

Change: seeds read at once; others wait up to 0.25 s as before, and up to 0.6 s while a seed of their zone runs; a VM that hears a reader takes its place for uncertain during its first 2 s.

--- a/include/magnoliatide/fleet/reader_duty.h
+++ b/include/magnoliatide/fleet/reader_duty.h
@@ -21,6 +21,9 @@
   /// How long a VM may lack what others are known to have before it reads: a
   /// part of the time in which a configuration must be in force.
   Duration mostBehind = Milliseconds(700);
+  /// How long a VM that has just started takes its place for uncertain, as it
+  /// does not know all the others yet.
+  Duration settleTime = Seconds(2);
 };
 
 class ReaderDuty
@@ -28,6 +31,7 @@
 public:
   explicit ReaderDuty(ReaderDutyOptions aOptions, TimePoint aNow)
     : mOptions(aOptions)
+    , mStarted(aNow)
     , mHeard(aNow)
   {
   }
@@ -36,7 +40,11 @@
   void SetPlace(std::size_t aPlace) { mPlace = aPlace; }
 
   /// Notes that another VM of the zone reads the store, which answers it.
-  void NoteWord(TimePoint aNow) { mHeard = aNow; }
+  void NoteWord(TimePoint aNow)
+  {
+    mHeard = aNow;
+    mHeardAny = true;
+  }
 
   /// Notes whether another VM knows more of the store than this one.
   void NoteBehind(bool aBehind, TimePoint aNow)
@@ -53,7 +61,8 @@
   {
     const bool behind =
       mBehindSince != TimePoint{} && aNow - mBehindSince >= mOptions.mostBehind;
-    if (mPlace == 0 || behind) {
+    const bool settled = !mHeardAny || aNow - mStarted >= mOptions.settleTime;
+    if ((mPlace == 0 && settled) || behind) {
       return true;
     }
     const Duration wait =
@@ -66,7 +75,9 @@
 private:
   ReaderDutyOptions mOptions;
   std::size_t mPlace = 0;
-  TimePoint mHeard;         ///< When a VM that reads was heard of last.
+  TimePoint mStarted;
+  TimePoint mHeard; ///< When a VM that reads was heard of last.
+  bool mHeardAny = false;
   TimePoint mBehindSince{}; ///< Zero: it lacks nothing that it heard of.
 };
 
--- a/src/fleet/published_test.cpp
+++ b/src/fleet/published_test.cpp
@@ -286,6 +286,23 @@
   EXPECT_FALSE(second.Reads(kStart + Milliseconds(700)));
 }
 
+// A VM that has just started takes itself for the first of its zone, as it
+// knows no others: where one is heard that reads, it leaves the store to it.
+TEST(ReaderDuty, AVmThatJustStartedLeavesTheStoreToAReader)
+{
+  ReaderDuty duty({}, kStart);
+  EXPECT_TRUE(duty.Reads(kStart));
+  for (int i = 0; i < 30; ++i) {
+    const auto now = kStart + Milliseconds(100) * i;
+    duty.NoteWord(now);
+    EXPECT_EQ(duty.Reads(now), i >= 20) << i;
+  }
+  ReaderDuty other({}, kStart);
+  other.NoteWord(kStart);
+  EXPECT_FALSE(other.Reads(kStart + Milliseconds(300)));
+  EXPECT_TRUE(other.Reads(kStart + Milliseconds(700)));
+}
+
 // A VM that hears a reader but gets nothing from it, as one of them has no
 // processor time to spare, must not stay behind for seconds.
 TEST(ReaderDuty, AVmThatStaysBehindReadsForItself)
--- a/src/node/entry_vm.cpp
+++ b/src/node/entry_vm.cpp
@@ -17,6 +17,7 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -147,6 +148,7 @@
     parts.follower.pingPeriod = std::min<Duration>(
       parts.follower.pingPeriod, mSettings.bounds.drainNotice / 2);
     parts.directory.returnGrace = mSettings.bounds.returnGrace;
+    parts.seed = IsSeed(document::Format(mSettings.peerAddress));
     parts.peersInZone = [this] { return PeersInZone(); };
     parts.onTable = [this](const routing::TablePointer& aTable) {
       mWork.SetTable(aTable);
@@ -290,6 +292,14 @@
     return vms;
   }
 
+  bool IsSeed(const std::string& aAddress) const
+  {
+    return std::any_of(
+      mSettings.seeds.begin(), mSettings.seeds.end(), [&](const auto& aSeed) {
+        return document::Format(aSeed) == aAddress;
+      });
+  }
+
   bool IsInZone(const std::string& aSlot) const
   {
     return aSlot.starts_with(mSettings.Zone() + "/");
--- a/src/node/published_service.cpp
+++ b/src/node/published_service.cpp
@@ -19,10 +19,22 @@
 
 constexpr Duration kFetchBound = Milliseconds(800);
 
-/// The longest time that a VM which knows nothing yet leaves to the others
-/// before it reads the store.
+/// The longest time that a VM which knows nothing yet leaves the store to
+/// others. Seeds read it at once.
 constexpr Duration kMostFirstWait = Milliseconds(250);
 
+/// The same where a seed of the zone runs, which reads the store and tells the
+/// others: where hundreds of VMs start together, the store would refuse most of
+/// their calls.
+constexpr Duration kSeedWait = Milliseconds(600);
+
+Duration
+FirstWait(bool aSeed)
+{
+  return aSeed ? Duration::zero()
+               : kMostFirstWait * static_cast<int>(RandomId() % 100) / 100;
+}
+
 /// Bytes of items that are sent to other VMs at once; they ask for more.
 constexpr std::size_t kMostToldBytes = 1000;
 
@@ -53,7 +65,7 @@
   , mSource(RandomId())
   , mFollower(PartsForFollower())
   , mStarted(Clock::now())
-  , mFirstWait(kMostFirstWait * static_cast<int>(RandomId() % 100) / 100)
+  , mFirstWait(FirstWait(mParts.seed))
 {
 }
 
@@ -119,7 +131,8 @@
   if (mItems.Revision() > 0) {
     return mDuty.Reads(aNow);
   }
-  return aNow - mStarted >= mFirstWait && !mFetching && !mCatchUp.AnyNear(0);
+  const Duration wait = mSeedRuns ? kSeedWait : mFirstWait;
+  return aNow - mStarted >= wait && !mFetching && !mCatchUp.AnyNear(0);
 }
 
 bool
--- a/src/node/published_service.h
+++ b/src/node/published_service.h
@@ -29,6 +29,7 @@
   RcuCell<routing::Table>* table = nullptr;
   StoreFollowerOptions follower;
   fleet::DirectoryOptions directory;
+  bool seed = false; ///< Other VMs that start ask this one first.
   /// Returns the addresses of the other VMs of the zone.
   std::function<std::vector<std::string>()> peersInZone;
   std::function<void(const routing::TablePointer&)> onTable;
@@ -45,6 +46,9 @@
   /// Sets this VM's place among the live VMs of its zone, 0 for the first.
   void SetPlace(std::size_t aPlace) { mDuty.SetPlace(aPlace); }
 
+  /// Notes that a seed of the zone other than this VM runs.
+  void NoteSeedRuns() { mSeedRuns = true; }
+
   /// Does what time brings.
   void Tick(TimePoint aNow);
 
@@ -102,6 +106,7 @@
   TimePoint mStarted;
   Duration mFirstWait; ///< For another VM to tell what it knows.
   TimePoint mNextWord{};
+  bool mSeedRuns = false;
   bool mFetching = false;
   /// Since when the store answers this VM, or does not. Before its first word,
   /// the start of time: nothing is known that could be removed.
