Anchor the speed of plain servers, so that slow ones stay told

Cause: a trial that logged what decides refusals showed calls of 31 ms forecast with 0.4 to 0.7 s, at servers of factor 0.05, its bound. The service's own time and the factors of its servers were learned from the same samples, the factors following short samples sooner: the one grew and the others fell, until all servers were alike.

Change: the unit is the first sample; the factor of a plain server is the mean of its samples. Test: ServiceSpeed.CallsOfSlowServersStayTold; before, a server four times slower was taken for twice slower.

--- a/include/magnoliatide/policy/service_speed.h
+++ b/include/magnoliatide/policy/service_speed.h
@@ -64,6 +64,7 @@
 
 private:
   void LearnFactor(ServerSpeed& aServer, double aRatio);
+  void LearnMean(ServerSpeed& aServer, double aRatio);
   void LearnFirst(double aTokens, double aSeconds);
 
   double mTypical = 1;
--- a/src/policy/service_speed.cpp
+++ b/src/policy/service_speed.cpp
@@ -29,7 +29,8 @@
 constexpr double kFirstTokenSeconds = 0.005;
 constexpr double kFirstPlainSeconds = 0.03;
 
-constexpr double kPlainFollow = 0.1;
+constexpr double kPlainFollow = 0.03;
+constexpr double kLeastPlainSeconds = 1e-4;
 
 } // namespace
 
@@ -38,11 +39,12 @@
 {
   const double first = ToSeconds(aSample.toFirst);
   if (aSample.plain) {
+    // The unit stays what it was first: learned from the same samples as the
+    // factors, it would drift with them.
     if (mPlainSeconds <= 0) {
-      mPlainSeconds = first;
+      mPlainSeconds = std::max(first, kLeastPlainSeconds);
     }
-    LearnFactor(aServer, first / std::max(mPlainSeconds, 1e-4));
-    mPlainSeconds += kPlainFollow * (first / aServer.factor - mPlainSeconds);
+    LearnMean(aServer, first / mPlainSeconds);
     return;
   }
   if (aSample.outputTokens >= kLeastOutputTokens) {
@@ -72,6 +74,17 @@
   aServer.samples += 1;
 }
 
+/// Calls take different times by themselves: a factor follows their mean, over
+/// all samples at first.
+void
+ServiceSpeed::LearnMean(ServerSpeed& aServer, double aRatio)
+{
+  const double ratio = std::clamp(aRatio, kLeastFactor, kMostFactor);
+  aServer.samples += 1;
+  const double follow = std::max(kPlainFollow, 1.0 / aServer.samples);
+  aServer.factor += follow * (ratio - aServer.factor);
+}
+
 void
 ServiceSpeed::LearnFirst(double aTokens, double aSeconds)
 {
