Let tests harm the ways between any two hosts, one way or both

The network of loopback forwarders passes, loses, resets or delays what goes from one group of hosts to another; the deployment of the platform's tests can be reached through it.

--- a/load/fleet.cpp
+++ b/load/fleet.cpp
@@ -126,7 +126,7 @@
     member.peer = member.peerBind;
     if (mOptions.cuttable) {
       member.peer = Place(HostOf(index % zones, index / zones, 2));
-      mNetwork->AddVm(member.peer, member.peerBind, member.zone);
+      mNetwork->AddHost(member.peer, member.peerBind, member.zone);
     }
     member.admin = Place(host);
     member.command = { mOptions.binaries + "/src/magnoliatide",
--- a/load/network.cpp
+++ b/load/network.cpp
@@ -6,8 +6,8 @@
 #include <array>
 #include <map>
 #include <mutex>
-#include <set>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace magnoliatide::load {
@@ -28,41 +28,79 @@
   {
     Link(asio::io_context& aLoop,
          const document::Endpoint& aAddress,
-         const document::Endpoint& aVm,
-         std::string aZone)
+         const document::Endpoint& aHost,
+         std::string aGroup)
       : udp(aLoop,
             Udp::endpoint(asio::ip::make_address(aAddress.host), aAddress.port))
       , tcp(aLoop,
             Tcp::endpoint(asio::ip::make_address(aAddress.host), aAddress.port))
-      , vm(aVm)
-      , zone(std::move(aZone))
+      , host(aHost)
+      , group(std::move(aGroup))
     {
     }
 
     Udp::socket udp;
     Tcp::acceptor tcp;
-    document::Endpoint vm;
-    std::string zone;
+    document::Endpoint host;
+    std::string group;
     std::array<char, 2048> buffer{};
     Udp::endpoint from;
   };
 
+  /// The two ends of a forwarded connection.
+  struct Pair
+  {
+    explicit Pair(Tcp::socket aCaller)
+      : caller(std::move(aCaller))
+      , callee(caller.get_executor())
+    {
+    }
+
+    void Reset()
+    {
+      boost::system::error_code ignored;
+      for (auto* socket : { &caller, &callee }) {
+        socket->set_option(asio::socket_base::linger(true, 0), ignored);
+        socket->close(ignored);
+      }
+    }
+
+    Tcp::socket caller;
+    Tcp::socket callee;
+  };
+  using PairPointer = std::shared_ptr<Pair>;
+
   asio::io_context loop{ 1 };
   asio::executor_work_guard<asio::io_context::executor_type> guard{
     loop.get_executor()
   };
   std::thread thread;
   std::mutex mutex;
-  std::set<std::string> cut;
-  std::map<std::string, std::string> zoneOfHost;
+  std::map<std::pair<std::string, std::string>, Way> ways;
+  std::map<std::string, std::string> groupOfHost;
   std::vector<std::unique_ptr<Link>> links;
 
-  bool Passes(const std::string& aFromHost, const std::string& aToZone)
+  std::string GroupOf(const std::string& aHost)
   {
     std::lock_guard<std::mutex> lock(mutex);
-    const auto found = zoneOfHost.find(aFromHost);
-    const std::string from = found == zoneOfHost.end() ? "" : found->second;
-    return from == aToZone || (cut.count(from) == 0 && cut.count(aToZone) == 0);
+    const auto found = groupOfHost.find(aHost);
+    return found == groupOfHost.end() ? "" : found->second;
+  }
+
+  Way WayOf(const std::string& aFrom, const std::string& aTo)
+  {
+    std::lock_guard<std::mutex> lock(mutex);
+    if (aFrom == aTo) {
+      return Way::kPass;
+    }
+    for (const auto& [from, to] :
+         { std::pair(aFrom, aTo), { aFrom, "*" }, { "*", aTo } }) {
+      const auto found = ways.find({ from, to });
+      if (found != ways.end() && found->second != Way::kPass) {
+        return found->second;
+      }
+    }
+    return Way::kPass;
   }
 
   void ReceiveDatagram(Link& aLink)
@@ -75,18 +113,30 @@
         if (aError == asio::error::operation_aborted) {
           return;
         }
-        const auto host = aLink.from.address().to_string();
-        if (!aError && Passes(host, aLink.zone)) {
-          const Udp::endpoint to(asio::ip::make_address(aLink.vm.host),
-                                 aLink.vm.port);
-          boost::system::error_code ignored;
-          aLink.udp.send_to(
-            asio::buffer(aLink.buffer.data(), aSize), to, 0, ignored);
+        if (!aError) {
+          ForwardDatagram(aLink, { aLink.buffer.data(), aSize });
         }
         ReceiveDatagram(aLink);
       });
   }
 
+  void ForwardDatagram(Link& aLink, std::string aBytes)
+  {
+    const auto host = aLink.from.address().to_string();
+    const auto way = WayOf(GroupOf(host), aLink.group);
+    if (way == Way::kSilent || way == Way::kReset) {
+      return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(
+      loop, way == Way::kSlow ? kSlowTime : Duration::zero());
+    timer->async_wait([&aLink, timer, bytes = std::move(aBytes)](const auto&) {
+      const Udp::endpoint to(asio::ip::make_address(aLink.host.host),
+                             aLink.host.port);
+      boost::system::error_code ignored;
+      aLink.udp.send_to(asio::buffer(bytes), to, 0, ignored);
+    });
+  }
+
   asio::awaitable<void> Accept(Link& aLink)
   {
     while (true) {
@@ -102,42 +152,60 @@
   {
     boost::system::error_code ignored;
     const auto host = aSocket.remote_endpoint(ignored).address().to_string();
-    auto caller = std::make_shared<Tcp::socket>(std::move(aSocket));
-    auto callee = std::make_shared<Tcp::socket>(loop);
-    const Tcp::endpoint to(asio::ip::make_address(aLink.vm.host),
-                           aLink.vm.port);
-    const auto [failed] = co_await callee->async_connect(to, kNoThrow);
+    const auto group = GroupOf(host);
+    auto pair = std::make_shared<Pair>(std::move(aSocket));
+    if (WayOf(group, aLink.group) == Way::kReset) {
+      pair->Reset();
+      co_return;
+    }
+    const Tcp::endpoint to(asio::ip::make_address(aLink.host.host),
+                           aLink.host.port);
+    const auto [failed] = co_await pair->callee.async_connect(to, kNoThrow);
     if (failed) {
+      pair->Reset();
       co_return;
     }
-    asio::co_spawn(loop, Pump(caller, callee, host, aLink), asio::detached);
-    asio::co_spawn(loop, Pump(callee, caller, host, aLink), asio::detached);
+    pair->caller.set_option(Tcp::no_delay(true), ignored);
+    pair->callee.set_option(Tcp::no_delay(true), ignored);
+    asio::co_spawn(loop, Pump(pair, true, group, aLink.group), asio::detached);
+    asio::co_spawn(loop, Pump(pair, false, aLink.group, group), asio::detached);
   }
 
-  asio::awaitable<void> Pump(std::shared_ptr<Tcp::socket> aFrom,
-                             std::shared_ptr<Tcp::socket> aTo,
-                             std::string aHost,
-                             Link& aLink)
+  asio::awaitable<void> Pump(PairPointer aPair,
+                             bool aForth,
+                             std::string aFrom,
+                             std::string aTo)
   {
+    auto& from = aForth ? aPair->caller : aPair->callee;
+    auto& to = aForth ? aPair->callee : aPair->caller;
     std::array<char, 16384> bytes{};
     while (true) {
       const auto [error, size] =
-        co_await aFrom->async_read_some(asio::buffer(bytes), kNoThrow);
+        co_await from.async_read_some(asio::buffer(bytes), kNoThrow);
+      const auto way = WayOf(aFrom, aTo);
+      if (way == Way::kReset || error == asio::error::connection_reset) {
+        aPair->Reset();
+        co_return;
+      }
       if (error) {
         break;
       }
-      if (!Passes(aHost, aLink.zone)) {
+      if (way == Way::kSilent) {
         continue;
       }
+      if (way == Way::kSlow) {
+        asio::steady_timer timer(loop, kSlowTime);
+        co_await timer.async_wait(kNoThrow);
+      }
       const auto [failed, written] = co_await asio::async_write(
-        *aTo, asio::buffer(bytes.data(), size), kNoThrow);
+        to, asio::buffer(bytes.data(), size), kNoThrow);
       static_cast<void>(written);
       if (failed) {
         break;
       }
     }
     boost::system::error_code ignored;
-    aTo->shutdown(Tcp::socket::shutdown_send, ignored);
+    to.shutdown(Tcp::socket::shutdown_send, ignored);
   }
 };
 
@@ -154,15 +222,16 @@
 }
 
 void
-Network::AddVm(const document::Endpoint& aAddress,
-               const document::Endpoint& aVm,
-               const std::string& aZone)
+Network::AddHost(const document::Endpoint& aAddress,
+                 const document::Endpoint& aHost,
+                 const std::string& aGroup)
 {
-  auto link = std::make_unique<Core::Link>(mCore->loop, aAddress, aVm, aZone);
+  auto link =
+    std::make_unique<Core::Link>(mCore->loop, aAddress, aHost, aGroup);
   auto& added = *link;
   {
     std::lock_guard<std::mutex> lock(mCore->mutex);
-    mCore->zoneOfHost[aVm.host] = aZone;
+    mCore->groupOfHost[aHost.host] = aGroup;
     mCore->links.push_back(std::move(link));
   }
   asio::post(mCore->loop, [this, &added] { mCore->ReceiveDatagram(added); });
@@ -170,14 +239,18 @@
 }
 
 void
-Network::SetCut(const std::string& aZone, bool aCut)
+Network::SetWay(const std::string& aFrom, const std::string& aTo, Way aWay)
 {
   std::lock_guard<std::mutex> lock(mCore->mutex);
-  if (aCut) {
-    mCore->cut.insert(aZone);
-  } else {
-    mCore->cut.erase(aZone);
-  }
+  mCore->ways[{ aFrom, aTo }] = aWay;
+}
+
+void
+Network::SetCut(const std::string& aGroup, bool aCut)
+{
+  const auto way = aCut ? Way::kSilent : Way::kPass;
+  SetWay(aGroup, "*", way);
+  SetWay("*", aGroup, way);
 }
 
 } // namespace magnoliatide::load
--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -120,7 +120,7 @@
   {
     std::lock_guard<std::mutex> lock(mMutex);
     json::object entry{ { "service", mOptions.service },
-                        { "address", document::Format(mOptions.address) },
+                        { "address", document::Format(Reached()) },
                         { "zone", mOptions.zone },
                         { "version", "v1" },
                         { "slots", mOptions.slots },
@@ -134,6 +134,11 @@
   const BatchEngineOptions& Options() const override { return mOptions; }
 
 private:
+  const document::Endpoint& Reached() const
+  {
+    const bool elsewhere = mOptions.advertised.port != 0;
+    return elsewhere ? mOptions.advertised : mOptions.address;
+  }
   template<typename Function>
   void Post(Function aFunction)
   {
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -16,6 +16,7 @@
 struct BatchEngineOptions
 {
   document::Endpoint address;
+  document::Endpoint advertised; ///< Where it is reached; port 0: the same.
   std::string id = "i-1";
   std::string service = "language";
   std::string zone = "kariakoo";
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -70,14 +70,20 @@
 } // namespace
 
 PlatformFleet::PlatformFleet(const std::string& aName,
-                             std::vector<std::string> aZones)
+                             std::vector<std::string> aZones,
+                             load::Network* aNetwork)
   : mFolder(std::string(MAGNOLIATIDE_BINARIES) + "/test-runs/" + aName)
+  , mNetwork(aNetwork)
 {
   std::filesystem::remove_all(mFolder);
   std::filesystem::create_directories(mFolder);
-  mStoreAddress = { "127.30.0.1", load::FreePort("127.30.0.1") };
   http::ServerOptions options;
-  options.address = mStoreAddress;
+  options.address = { "127.30.0.1", load::FreePort("127.30.0.1") };
+  mStoreAddress = options.address;
+  if (mNetwork != nullptr) {
+    mStoreAddress = { "127.30.0.2", load::FreePort("127.30.0.2") };
+    mNetwork->AddHost(mStoreAddress, options.address, "store");
+  }
   mStoreServer =
     http::StartServer(mThreads, options, [this](http::Exchange& aExchange) {
       return mStore.Handle(aExchange);
@@ -90,6 +96,12 @@
     for (auto* address : { &vm.callers, &vm.ready, &vm.peers, &vm.metrics }) {
       *address = { host, load::FreePort(host) };
     }
+    vm.peerBind = vm.peers;
+    if (mNetwork != nullptr) {
+      const auto front = "127.30.3." + std::to_string(i + 1);
+      vm.peers = { front, load::FreePort(front) };
+      mNetwork->AddHost(vm.peers, vm.peerBind, vm.name);
+    }
     vm.settingsPath = mFolder + "/" + vm.name + ".ini";
     vm.outputPath = mFolder + "/" + vm.name + ".log";
     mVms.push_back(std::move(vm));
@@ -120,6 +132,7 @@
        << document::Format(aVm.callers)
        << "\nready-address = " << document::Format(aVm.ready)
        << "\npeer-address = " << document::Format(aVm.peers)
+       << "\npeer-bind = " << document::Format(aVm.peerBind)
        << "\nadmin-address = " << document::Format(aVm.metrics)
        << "\nmetrics-address = " << document::Format(aVm.metrics)
        << "\nthreads = 1\ndrain-time = 8s\n"
@@ -136,6 +149,11 @@
 {
   const auto host = "127.30.2." + std::to_string(mEngines.size() + 1);
   aOptions.address = { host, load::FreePort(host) };
+  if (mNetwork != nullptr) {
+    const auto front = "127.30.4." + std::to_string(mEngines.size() + 1);
+    aOptions.advertised = { front, load::FreePort(front) };
+    mNetwork->AddHost(aOptions.advertised, aOptions.address, aOptions.id);
+  }
   mEngines.push_back(standins::StartBatchEngine(aOptions));
   Enter(*mEngines.back());
   return *mEngines.back();
@@ -240,12 +258,12 @@
 http::Request
 PlatformFleet::RequestOf(const CallText& aCall)
 {
-  mCalls += 1;
+  const std::uint64_t number = ++mCalls;
   http::Request request;
   request.method = aCall.method;
   request.target = aCall.path;
   request.body = aCall.body;
-  const auto id = aCall.id.empty() ? ToHex(Hash64(mFolder, mCalls)) : aCall.id;
+  const auto id = aCall.id.empty() ? ToHex(Hash64(mFolder, number)) : aCall.id;
   request.headers = { { "Host", kHost },
                       { "Attempt-Id", id },
                       { "Deadline-Ms", std::to_string(aCall.deadlineMillis) },
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -5,6 +5,7 @@
 #define MAGNOLIATIDE_TESTS_PLATFORM_FLEET_H
 
 #include "batch_engine.h"
+#include "network.h"
 #include "process.h"
 #include "store.h"
 
@@ -14,6 +15,7 @@
 
 #include <boost/json.hpp>
 
+#include <atomic>
 #include <future>
 #include <memory>
 #include <string>
@@ -52,7 +54,8 @@
   std::string zone;
   document::Endpoint callers;
   document::Endpoint ready;
-  document::Endpoint peers;
+  document::Endpoint peers;    ///< Where other VMs reach it.
+  document::Endpoint peerBind; ///< Where it listens for them.
   document::Endpoint metrics;
   std::string settingsPath;
   std::string outputPath;
@@ -78,8 +81,12 @@
 public:
   /// @param aName Of the test; its folder of settings and output.
   /// @param aZones One VM for each entry.
+  /// @param aNetwork If given, the store, the servers and the VMs are reached
+  ///     by VMs through it, as the groups "store" and their names. Outlives the
+  ///     fleet.
   explicit PlatformFleet(const std::string& aName,
-                         std::vector<std::string> aZones = { "kariakoo" });
+                         std::vector<std::string> aZones = { "kariakoo" },
+                         load::Network* aNetwork = nullptr);
   ~PlatformFleet();
 
   /// Adds a backend server and its entry in the store.
@@ -125,6 +132,9 @@
   /// pause of the given time.
   std::string Raw(std::size_t aVm, const std::string& aBytes, Duration aPause);
 
+  /// Makes a request as a call, for callers with connections of their own.
+  http::Request RequestOf(const CallText& aCall);
+
   /// Returns a VM's log so far.
   std::string Log(std::size_t aVm) const;
 
@@ -139,13 +149,13 @@
   }
 
 private:
-  http::Request RequestOf(const CallText& aCall);
   std::string WriteSettings(const TestVm& aVm) const;
   std::future<http::CallResult> Send(const document::Endpoint& aPeer,
                                      http::Request aRequest,
                                      Duration aBound);
 
   std::string mFolder;
+  load::Network* mNetwork;
   http::Threads mThreads{ 2 };
   standins::Store mStore;
   std::unique_ptr<http::Server> mStoreServer;
@@ -153,7 +163,7 @@
   std::vector<std::unique_ptr<standins::BatchEngine>> mEngines;
   std::vector<TestVm> mVms;
   std::uint64_t mVersion = 0;
-  std::uint64_t mCalls = 0;
+  std::atomic<std::uint64_t> mCalls{ 0 };
 };
 
 } // namespace magnoliatide::tests
