--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::uint8_t kVersion = 2;
 constexpr std::size_t kDigestBytes = 16;
 constexpr std::size_t kMostTextBytes = 2 * 1024 * 1024;
 constexpr std::size_t kMostItems = 8192;
@@ -419,7 +418,7 @@
 {
   const auto& key = mKeys.front();
   std::string bytes;
-  bytes += static_cast<char>(kVersion);
+  bytes += static_cast<char>(kWireVersion);
   bytes += static_cast<char>(key.id.size());
   bytes += key.id;
   bytes += HmacSha256(key.secret, aPayload).substr(0, kDigestBytes);
@@ -433,7 +432,7 @@
   if (aBytes.size() < 2) {
     return DecodeError::kTruncated;
   }
-  if (static_cast<std::uint8_t>(aBytes[0]) != kVersion) {
+  if (static_cast<std::uint8_t>(aBytes[0]) != kWireVersion) {
     return DecodeError::kBadVersion;
   }
   const auto nameSize = static_cast<std::uint8_t>(aBytes[1]);
