Forget VMs that are gone and rumours that are old

Each VM that ever was stays in the list (addresses change with each new VM), and after 8,192 rumours no further one was spread, so on a deployment that lives for weeks word of a leaving backend server would have ended.

Change: rumours are a class of their own. One ages out 40 minutes after it was first told (its age travels with it, so that VMs do not hand it to each other for ever); at the cap the oldest goes. A VM that has been dead or has left for an hour is forgotten; how long it has been so travels likewise.

Tests, each seen failing first: rumours_test (ages out, cap drops the oldest, stays known while told anew), Membership.AVmThatIsGoneIsForgottenInTheEnd.

--- a/include/magnoliatide/membership/membership.h
+++ b/include/magnoliatide/membership/membership.h
@@ -5,6 +5,7 @@
 #define MAGNOLIATIDE_MEMBERSHIP_MEMBERSHIP_H
 
 #include "magnoliatide/core/time.h"
+#include "magnoliatide/membership/rumours.h"
 #include "magnoliatide/wire/messages.h"
 
 #include <cstdint>
@@ -27,6 +28,12 @@
   Duration joinTime = Seconds(3);  ///< In which a start may claim its slot.
   /// A step of time longer than this means that the process was paused.
   Duration pauseBound = Milliseconds(700);
+  /// How long a rumour is held: longer than a request that crashed servers is
+  /// refused, and than a server takes to leave.
+  Duration rumourMemory = std::chrono::minutes(40);
+  /// How long a VM that died or left is remembered: while it is, the others
+  /// leave it its part of quotas, as it may serve elsewhere.
+  Duration goneMemory = std::chrono::hours(1);
   int helpers = 3;
   std::size_t membersPerMessage = 8;
   std::size_t rumoursPerMessage = 8;
@@ -70,7 +77,7 @@
   void AddSeeds(const std::vector<std::string>& aAddresses);
 
   /// Makes a rumour known. Returns whether it was news.
-  bool Spread(const wire::Rumour& aRumour);
+  bool Spread(const wire::Rumour& aRumour, TimePoint aNow);
 
   /// Sends gossip to a few members at once, without waiting for the next
   /// probe.
@@ -107,6 +114,7 @@
   {
     wire::MemberRecord record;
     TimePoint suspectedAt{};
+    TimePoint goneAt{}; ///< When it died or left, if it has.
   };
 
   struct PendingProbe
@@ -119,14 +127,6 @@
     std::uint64_t askedNumber = 0;
   };
 
-  struct SpreadRumour
-  {
-    wire::Rumour rumour;
-    int sendsLeft = 0;
-  };
-
-  using RumourId = std::pair<wire::RumourKind, std::string>;
-
   void ApplyRecord(const wire::MemberRecord& aRecord, TimePoint aNow);
   void ApplyOwnRecord(const wire::MemberRecord& aRecord, TimePoint aNow);
   void ApplyGossip(const wire::Gossip& aGossip, TimePoint aNow);
@@ -149,7 +149,8 @@
   void QueueUpdate(const std::string& aSlot);
   int SendsFor() const;
   std::vector<std::string> LiveOthers() const;
-  std::uint64_t RumourDigest() const;
+  void Forget(TimePoint aNow);
+  wire::MemberRecord RecordOf(const Member& aMember, TimePoint aNow) const;
 
   MembershipOptions mOptions;
   std::mt19937_64 mRandom;
@@ -157,7 +158,7 @@
   std::map<std::string, Member> mMembers;
   /// Records that still ride on messages, with the sends left for each.
   std::map<std::string, int> mUpdates;
-  std::map<RumourId, SpreadRumour> mRumours;
+  Rumours mRumours;
   std::map<std::uint64_t, PendingProbe> mProbes;
   std::vector<std::string> mSeeds;
   std::vector<std::string> mRound; ///< Members left to probe this round.
@@ -165,11 +166,12 @@
   std::vector<wire::Rumour> mNews;
   std::vector<std::string> mSyncPeers;
   std::uint64_t mNextProbe = 1;
-  std::uint64_t mDigest = 0; ///< Sum of the hashes of all rumours.
+
   TimePoint mStarted{};
   TimePoint mLastTick{};
   TimePoint mNextPeriod{};
   TimePoint mNextLostProbe{};
+  TimePoint mNextForget{};
   bool mWoke = false;
   bool mSuperseded = false;
 };
--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -29,6 +29,7 @@
   MemberState state = MemberState::kAlive;
   /// Thousandths of a processor that the VM may use; 0: untold.
   std::uint32_t processor = 0;
+  std::uint32_t goneSeconds = 0; ///< For which it has been dead or left.
 };
 
 /// The document that a VM has in force.
@@ -63,6 +64,7 @@
   std::string key;
   std::uint64_t version = 0;
   std::string value;
+  std::uint32_t ageSeconds = 0; ///< Since it was first told.
 };
 
 /// What rides on probes and their answers.
@@ -378,6 +380,9 @@
   /// a part that is followed by others, upTo claims nothing.
   std::uint64_t partUpTo = 0;
   std::uint64_t source = 0; ///< The process that answers a request.
+  /// All items are named, as not all removals after the revision asked for are
+  /// known: what is not named is removed.
+  bool whole = false;
   std::vector<PublishedItem> items;
 };
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,8 +1,6 @@
 // Probing, suspicion and gossip.
 #include "magnoliatide/membership/membership.h"
 
-#include "magnoliatide/core/digest.h"
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -12,24 +10,9 @@
 namespace {
 
 constexpr int kSpreadFactor = 3; ///< Sends of news for each doubling of VMs.
-constexpr std::size_t kMostRumours = 8192;
 constexpr int kPushTargets = 3;
 constexpr int kLeaveTargets = 5;
-
-std::uint64_t
-HashOf(const wire::Rumour& aRumour)
-{
-  return Hash64(aRumour.key + "\n" + std::to_string(aRumour.version) + "\n" +
-                  aRumour.value,
-                static_cast<std::uint64_t>(aRumour.kind));
-}
-
-bool
-IsNewer(const wire::Rumour& aNew, const wire::Rumour& aOld)
-{
-  return aNew.version != aOld.version ? aNew.version > aOld.version
-                                      : aNew.value > aOld.value;
-}
+constexpr Duration kForgetPeriod = Seconds(10);
 
 bool
 IsLive(wire::MemberState aState)
@@ -71,6 +54,7 @@
 Membership::Membership(MembershipOptions aOptions)
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.seed)
+  , mRumours(mOptions.rumourMemory)
   , mSeeds(mOptions.seeds)
 {
 }
@@ -88,6 +72,10 @@
   CheckPause(aNow);
   ExpireProbes(aNow, out);
   ExpireSuspicions(aNow);
+  if (aNow >= mNextForget) {
+    mNextForget = aNow + kForgetPeriod;
+    Forget(aNow);
+  }
   if (aNow >= mNextPeriod) {
     mNextPeriod = aNow + mOptions.period;
     ProbeNext(aNow, out);
@@ -183,12 +171,42 @@
   }
 }
 
+void
+Membership::Forget(TimePoint aNow)
+{
+  mRumours.Expire(aNow);
+  std::erase_if(mMembers, [&](const auto& aEntry) {
+    const auto& [slot, member] = aEntry;
+    const bool old = !IsLive(member.record.state) &&
+                     aNow - member.goneAt >= mOptions.goneMemory;
+    if (old) {
+      mUpdates.erase(slot);
+    }
+    return old;
+  });
+}
+
+/// Returns a record as it is told to others.
+wire::MemberRecord
+Membership::RecordOf(const Member& aMember, TimePoint aNow) const
+{
+  auto record = aMember.record;
+  record.goneSeconds = 0;
+  if (!IsLive(record.state)) {
+    const auto gone = std::chrono::duration_cast<std::chrono::seconds>(
+      std::max<Duration>(aNow - aMember.goneAt, Duration::zero()));
+    record.goneSeconds = static_cast<std::uint32_t>(gone.count());
+  }
+  return record;
+}
+
 void
 Membership::SetState(Member& aMember, wire::MemberState aState, TimePoint aNow)
 {
   const auto from = aMember.record.state;
   aMember.record.state = aState;
   aMember.suspectedAt = aNow;
+  aMember.goneAt = aNow;
   QueueUpdate(aMember.record.slot);
   mChanges.push_back({ aMember.record, from });
 }
@@ -297,7 +315,7 @@
 void
 Membership::NoteDigest(const wire::Header& aHeader, const wire::Gossip& aGossip)
 {
-  if (aGossip.rumourDigest != RumourDigest()) {
+  if (aGossip.rumourDigest != mRumours.Digest()) {
     mSyncPeers.push_back(aHeader.sender.address);
   }
 }
@@ -309,7 +327,7 @@
     ApplyRecord(record, aNow);
   }
   for (const auto& rumour : aGossip.rumours) {
-    Spread(rumour);
+    Spread(rumour, aNow);
   }
 }
 
@@ -326,9 +344,13 @@
     ApplyOwnRecord(aRecord, aNow);
     return;
   }
+  const TimePoint goneAt = aNow - Seconds(aRecord.goneSeconds);
   const auto found = mMembers.find(aRecord.slot);
   if (found == mMembers.end()) {
-    mMembers[aRecord.slot] = { aRecord, aNow };
+    if (!IsLive(aRecord.state) && aNow - goneAt >= mOptions.goneMemory) {
+      return;
+    }
+    mMembers[aRecord.slot] = { aRecord, aNow, goneAt };
     QueueUpdate(aRecord.slot);
     mChanges.push_back({ aRecord, wire::MemberState::kDead });
     return;
@@ -347,6 +369,7 @@
   const auto from = member.record.state;
   member.record = aRecord;
   member.suspectedAt = aNow;
+  member.goneAt = goneAt;
   QueueUpdate(aRecord.slot);
   mChanges.push_back({ aRecord, from });
 }
@@ -394,12 +417,12 @@
 Membership::NextGossip(const std::string& aReceiver)
 {
   wire::Gossip gossip;
-  gossip.rumourDigest = RumourDigest();
+  gossip.rumourDigest = mRumours.Digest();
   // What the receiver's own record says here it must learn first.
   const auto receiver = mMembers.find(aReceiver);
   if (receiver != mMembers.end() &&
       receiver->second.record.state != wire::MemberState::kAlive) {
-    gossip.members.push_back(receiver->second.record);
+    gossip.members.push_back(RecordOf(receiver->second, mLastTick));
   }
   std::vector<std::pair<int, std::string>> queue;
   for (const auto& [slot, left] : mUpdates) {
@@ -411,41 +434,25 @@
       break;
     }
     const auto found = mMembers.find(slot);
-    gossip.members.push_back(found == mMembers.end() ? mOptions.self
-                                                     : found->second.record);
+    gossip.members.push_back(found == mMembers.end()
+                               ? mOptions.self
+                               : RecordOf(found->second, mLastTick));
     if (--mUpdates[slot] <= 0) {
       mUpdates.erase(slot);
     }
   }
-  for (auto& [id, spread] : mRumours) {
-    if (gossip.rumours.size() >= mOptions.rumoursPerMessage) {
-      break;
-    }
-    if (spread.sendsLeft > 0) {
-      spread.sendsLeft -= 1;
-      gossip.rumours.push_back(spread.rumour);
-    }
-  }
+  gossip.rumours = mRumours.Next(mOptions.rumoursPerMessage, mLastTick);
   return gossip;
 }
 
 bool
-Membership::Spread(const wire::Rumour& aRumour)
+Membership::Spread(const wire::Rumour& aRumour, TimePoint aNow)
 {
-  const RumourId id{ aRumour.kind, aRumour.key };
-  const auto found = mRumours.find(id);
-  if (found != mRumours.end()) {
-    if (!IsNewer(aRumour, found->second.rumour)) {
-      return false;
-    }
-    mDigest -= HashOf(found->second.rumour);
-  } else if (mRumours.size() >= kMostRumours) {
-    return false;
+  const bool news = mRumours.Add(aRumour, SendsFor(), aNow);
+  if (news) {
+    mNews.push_back(aRumour);
   }
-  mDigest += HashOf(aRumour);
-  mRumours[id] = { aRumour, SendsFor() };
-  mNews.push_back(aRumour);
-  return true;
+  return news;
 }
 
 std::vector<Outgoing>
@@ -473,7 +480,7 @@
   for (std::size_t i = 0; i < count; ++i) {
     wire::Gossip gossip;
     gossip.members.push_back(mOptions.self);
-    gossip.rumourDigest = RumourDigest();
+    gossip.rumourDigest = mRumours.Digest();
     out.push_back({ mMembers.at(others[i]).record.address,
                     wire::Probe{ mNextProbe++, std::move(gossip) } });
   }
@@ -512,7 +519,7 @@
 {
   std::vector<wire::MemberRecord> records{ mOptions.self };
   for (const auto& [slot, member] : mMembers) {
-    records.push_back(member.record);
+    records.push_back(RecordOf(member, mLastTick));
   }
   return records;
 }
@@ -522,10 +529,8 @@
 {
   wire::Gossip gossip;
   gossip.members = All();
-  for (const auto& [id, spread] : mRumours) {
-    gossip.rumours.push_back(spread.rumour);
-  }
-  gossip.rumourDigest = RumourDigest();
+  gossip.rumours = mRumours.All(mLastTick);
+  gossip.rumourDigest = mRumours.Digest();
   return gossip;
 }
 
@@ -542,14 +547,7 @@
 const wire::Rumour*
 Membership::FindRumour(wire::RumourKind aKind, const std::string& aKey) const
 {
-  const auto found = mRumours.find({ aKind, aKey });
-  return found == mRumours.end() ? nullptr : &found->second.rumour;
-}
-
-std::uint64_t
-Membership::RumourDigest() const
-{
-  return mDigest;
+  return mRumours.Find(aKind, aKey);
 }
 
 std::vector<MemberChange>
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -206,12 +206,42 @@
   EXPECT_GT(network.At(2).Self().incarnation, 1u);
 }
 
+wire::MemberRecord
+GoneRecord(const char* aSlot, std::uint32_t aGoneSeconds)
+{
+  wire::MemberRecord record;
+  record.slot = aSlot;
+  record.address = aSlot;
+  record.process = 7;
+  record.incarnation = 3;
+  record.state = wire::MemberState::kDead;
+  record.goneSeconds = aGoneSeconds;
+  return record;
+}
+
+// VMs are replaced under new names for months. Those that are gone are
+// remembered while they may serve elsewhere, behind a cut, and not for ever.
+TEST(Membership, AVmThatIsGoneIsForgottenInTheEnd)
+{
+  Membership vm(Network::OptionsOf(0, 1));
+  vm.Tick(kStart);
+  wire::Gossip gossip;
+  gossip.members = { GoneRecord("z/lately", 60), GoneRecord("z/old", 7200) };
+  vm.Absorb(gossip, kStart);
+  ASSERT_EQ(vm.All().size(), 2u);
+  EXPECT_EQ(vm.All()[1].slot, "z/lately");
+  vm.Tick(kStart + Seconds(100));
+  EXPECT_EQ(vm.All()[1].goneSeconds, 160u);
+  vm.Tick(kStart + Seconds(3600));
+  EXPECT_EQ(vm.All().size(), 1u);
+}
+
 TEST(Membership, ARumourReachesEveryone)
 {
   Network network(8, 0.1, 11);
   network.Run(Seconds(5));
   network.At(5).Spread(
-    { wire::RumourKind::kBackendState, "e1@1:1", 4, "leaving" });
+    { wire::RumourKind::kBackendState, "e1@1:1", 4, "leaving" }, kStart);
   network.Run(Seconds(3));
   int know = 0;
   for (std::size_t vm = 0; vm < 8; ++vm) {
--- a/src/node/entry_vm.cpp
+++ b/src/node/entry_vm.cpp
@@ -390,7 +390,8 @@
       mMembers.Spread({ wire::RumourKind::kBackendState,
                         aNotice.server,
                         aNotice.started,
-                        "leaving" });
+                        "leaving" },
+                      Clock::now());
       SendAll(mMembers.Push(Clock::now()));
     }
   }
@@ -405,7 +406,8 @@
       mMembers.Spread({ wire::RumourKind::kSuspect,
                         ToHex(count.fingerprint),
                         static_cast<std::uint64_t>(count.crashes),
-                        "crash" });
+                        "crash" },
+                      Clock::now());
     }
     SendAll(mMembers.Push(Clock::now()));
   }
--- a/src/node/notice_service.cpp
+++ b/src/node/notice_service.cpp
@@ -91,7 +91,8 @@
       mParts.members->Spread({ wire::RumourKind::kBackendState,
                                KeyOf(*backend),
                                aList.index * kListVersionStep,
-                               listed.leaving ? "leaving" : "serving" });
+                               listed.leaving ? "leaving" : "serving" },
+                             Clock::now());
     }
   }
   mParts.push();
@@ -112,7 +113,8 @@
   }
   const auto version = known == nullptr ? 1 : known->version + 1;
   mParts.members->Spread(
-    { wire::RumourKind::kBackendState, KeyOf(*backend), version, "leaving" });
+    { wire::RumourKind::kBackendState, KeyOf(*backend), version, "leaving" },
+    Clock::now());
   mParts.push();
 }
 
@@ -125,7 +127,8 @@
       mParts.members->FindRumour(wire::RumourKind::kSuspect, key);
     const auto version = known == nullptr ? 1 : known->version + 1;
     const auto level = std::to_string(static_cast<int>(entry.level));
-    mParts.members->Spread({ wire::RumourKind::kSuspect, key, version, level });
+    mParts.members->Spread({ wire::RumourKind::kSuspect, key, version, level },
+                           Clock::now());
     mParts.audit->Add("request " + key, "", "suspicion " + level, "crash seen");
   }
   mParts.push();
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -75,14 +75,14 @@
 {
   if constexpr (kIs<T, MemberRecord>) {
     Each(aVisit, aV.slot, aV.address, aV.process, aV.incarnation, aV.state);
-    Each(aVisit, aV.processor);
+    Each(aVisit, aV.processor, aV.goneSeconds);
   } else if constexpr (kIs<T, DocumentHead>) {
     Each(aVisit, aV.generation, aV.digest);
   } else if constexpr (kIs<T, Header>) {
     Each(aVisit, aV.environment, aV.sequence, aV.sender, aV.head);
     Each(aVisit, aV.revision);
   } else if constexpr (kIs<T, Rumour>) {
-    Each(aVisit, aV.kind, aV.key, aV.version, aV.value);
+    Each(aVisit, aV.kind, aV.key, aV.version, aV.value, aV.ageSeconds);
   } else if constexpr (kIs<T, Gossip>) {
     Each(aVisit, aV.members, aV.rumours, aV.rumourDigest);
   } else if constexpr (kIs<T, Probe> || kIs<T, ProbeAck>) {
@@ -172,7 +172,7 @@
     Each(aVisit, aV.key, aV.value, aV.revision, aV.removed);
   } else if constexpr (kIs<T, PublishedItems>) {
     Each(aVisit, aV.after, aV.upTo, aV.reads, aV.upMillis);
-    Each(aVisit, aV.partUpTo, aV.source, aV.items);
+    Each(aVisit, aV.partUpTo, aV.source, aV.whole, aV.items);
   } else if constexpr (kIs<T, PublishedRequest>) {
     Each(aVisit, aV.after, aV.beyond);
   } else {
