Bring no removed item back from a VM that is behind

Cause: the property Published.ARevisionIsNeverClaimedWithAGap was extended by removals and lists and failed after one case: a VM took an item of a revision that it had already passed, from a VM that lagged, although the item had been removed in between; a list from the store told no removals of keys that the reader had never known, so a VM asking it later "since then" was not told. A removed server could so come back for a time.

Ruled out: cutting parts at any revision (a part must end at a revision that the teller itself claims, else the gap moves to the receiver).

Change: items at or below the claimed revision are never taken; a VM knows since when it has all removals, and an answer to a VM from before names everything and is marked so; the receiver removes what it does not name. Removals beyond 1,000, removed servers beyond 4,096 and the metrics of servers that are gone are forgotten, so that memory is bounded.

--- a/include/magnoliatide/fleet/published.h
+++ b/include/magnoliatide/fleet/published.h
@@ -15,13 +15,22 @@
 
 namespace magnoliatide::fleet {
 
+/// The parts of another copy's answer that have been taken.
+struct PartialAnswer
+{
+  bool begun = false;
+  bool whole = false;          ///< It names everything.
+  bool broken = false;         ///< Its parts do not fit: it claims nothing.
+  std::set<std::string> named; ///< Keys that are not removed.
+};
+
 class Published
 {
 public:
   /// Takes changes over.
   ///
-  /// @return The items that are news; those known with the same or a later
-  ///     revision are left out.
+  /// @return The items that are news. Those known with the same or a later
+  ///     revision, and those removed since, are left out.
   std::vector<wire::PublishedItem> Take(
     const std::vector<wire::PublishedItem>& aItems);
 
@@ -31,6 +40,13 @@
     const std::vector<wire::PublishedItem>& aItems,
     std::uint64_t aRevision);
 
+  /// Takes a part of another copy's answer over; the parts come in order.
+  ///
+  /// @param aAnswer The parts before, updated.
+  /// @return The items that are news.
+  std::vector<wire::PublishedItem> TakePart(const wire::PublishedItems& aPart,
+                                            PartialAnswer& aAnswer);
+
   /// Notes that every change up to a revision is known.
   void NoteRevision(std::uint64_t aRevision);
 
@@ -51,12 +67,23 @@
 
 private:
   void Keep(wire::PublishedItem& aKnown, const wire::PublishedItem& aNew);
+  void ForgetRemoved();
+  void RemoveMissing(const std::set<std::string>& aNamed,
+                     std::uint64_t aRevision,
+                     std::vector<wire::PublishedItem>& aNews);
+
+  /// Removals held for VMs that are behind.
+  static constexpr std::size_t kMostRemoved = 1000;
 
   std::map<std::string, wire::PublishedItem> mItems;
   /// The revision and key of every item of mItems.
   std::set<std::pair<std::uint64_t, std::string>> mByRevision;
-  /// Every item that changed up to this revision is in mItems.
+  /// Every item that changed up to this revision is in mItems, but for removals
+  /// that were forgotten.
   std::uint64_t mRevision = 0;
+  std::size_t mRemoved = 0; ///< Items of mItems that are removed.
+  /// Removals up to this revision may not be known.
+  std::uint64_t mForgotten = 0;
 };
 
 } // namespace magnoliatide::fleet
--- a/include/magnoliatide/telemetry/metrics.h
+++ b/include/magnoliatide/telemetry/metrics.h
@@ -43,6 +43,10 @@
                const std::vector<Label>& aLabels,
                Duration aValue);
 
+  /// Drops the counters of something that is gone for good, known by a label.
+  /// No other call may be in progress.
+  void Forget(const Label& aLabel);
+
   /// Returns a counter's or gauge's value, zero if it has none.
   std::uint64_t Value(std::string_view aName,
                       const std::vector<Label>& aLabels = {}) const;
--- a/src/fleet/directory.cpp
+++ b/src/fleet/directory.cpp
@@ -3,6 +3,13 @@
 
 namespace magnoliatide::fleet {
 
+namespace {
+
+/// Servers known before those that are gone are forgotten.
+constexpr std::size_t kMostServers = 4096;
+
+} // namespace
+
 Directory::Directory(DirectoryOptions aOptions)
   : mOptions(aOptions)
 {
@@ -29,6 +36,11 @@
   if (changed) {
     mRoster.reset();
   }
+  if (mServers.size() > kMostServers) {
+    std::erase_if(mServers, [](const auto& aServer) {
+      return !aServer.second.entry.server && !aServer.second.held;
+    });
+  }
   return changed;
 }
 
--- a/src/node/published_service.cpp
+++ b/src/node/published_service.cpp
@@ -256,7 +256,7 @@
   for (const auto& item : changes.items) {
     bytes += item.key.size() + item.value.size();
   }
-  if (changes.partUpTo > 0 || bytes > kMostToldBytes) {
+  if (changes.partUpTo > 0 || changes.whole || bytes > kMostToldBytes) {
     changes = {};
   }
   changes.reads = mFollower.Reads();
@@ -312,6 +312,7 @@
   wire::PublishedRequest next;
   next.after = mItems.Revision();
   std::uint64_t source = 0;
+  fleet::PartialAnswer taken;
   while (true) {
     wire::FrameBody request = next;
     const auto answer =
@@ -322,7 +323,7 @@
     if (part == nullptr || other) {
       co_return;
     }
-    Take(*part, aAddress, false);
+    TakeNews(mItems.TakePart(*part, taken), aAddress);
     if (part->partUpTo <= next.beyond) {
       co_return;
     }
@@ -379,6 +380,7 @@
   for (const auto& [id, leaving] : mLogged) {
     if (roster->count(id) == 0) {
       add("-", id);
+      mParts.metrics->Forget({ "server", id });
     }
   }
   mLogged.clear();
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -166,6 +166,22 @@
     std::chrono::duration_cast<std::chrono::microseconds>(aValue).count()));
 }
 
+void
+Metrics::Forget(const Label& aLabel)
+{
+  const std::string text =
+    std::string(aLabel.name) + "=\"" + std::string(aLabel.value) + '"';
+  std::vector<std::string> gone;
+  for (const auto& [series, value] : mStore->counters) {
+    if (series.find(text) != std::string::npos) {
+      gone.push_back(series);
+    }
+  }
+  for (const auto& series : gone) {
+    mStore->counters.erase(series);
+  }
+}
+
 std::uint64_t
 Metrics::Value(std::string_view aName, const std::vector<Label>& aLabels) const
 {
