Add a soak: many VMs under trouble, every answer checked

A test of its own beside the process tests: director (kills, freezes, cuts between any two hosts, store outages, removals and births of servers, new configurations, planned stops), callers of all kinds, and a checker that reads what callers were told and what engines ran: dispatched at most once, whole answers to their own request, "not run" means not run, one run for a call that may not run twice, no new work on a leaving server, configurations that never revert, quotas, service that returns. Each check is shown by a test to find its break (17 tests).

--- /dev/null
+++ b/soak/callers.cpp
@@ -0,0 +1,291 @@
+// Calls, probes and the balancer.
+#include "callers.h"
+
+#include "magnoliatide/core/digest.h"
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <random>
+#include <thread>
+
+namespace magnoliatide::soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+/// As clients do: a second for a connection.
+constexpr Duration kConnectBound = Seconds(1);
+constexpr Duration kAnswerBound = Seconds(8);
+constexpr std::size_t kMostAnswerBytes = 1024 * 1024;
+
+/// The balancer asks once a second; a VM is out after two misses.
+constexpr Duration kReadyPeriod = Seconds(1);
+constexpr int kMissesOut = 2;
+
+constexpr Duration kProbePeriod = Milliseconds(200);
+constexpr Duration kMostRetryAfter = Seconds(1);
+
+constexpr char kUsage[] = "100,40";
+
+double
+Part(std::mt19937_64& aRandom)
+{
+  return std::uniform_real_distribution<double>(0, 1)(aRandom);
+}
+
+Duration
+Between(std::mt19937_64& aRandom, int aLeastMillis, int aMostMillis)
+{
+  return Milliseconds(
+    std::uniform_int_distribution<int>(aLeastMillis, aMostMillis)(aRandom));
+}
+
+asio::awaitable<void>
+Pause(Duration aTime)
+{
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  asio::steady_timer timer(executor, aTime);
+  co_await timer.async_wait(kNoThrow);
+}
+
+Duration
+RetryAfter(const http::Response& aResponse)
+{
+  const auto text = http::Find(aResponse.headers, "Retry-After");
+  double seconds = 0;
+  std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return std::min<Duration>(FromSeconds(seconds), kMostRetryAfter);
+}
+
+} // namespace
+
+struct Callers::Caller
+{
+  std::mt19937_64 random;
+  std::shared_ptr<http::ClientConnection> connection;
+  std::size_t vm = 0;
+  Duration pause{};
+};
+
+Callers::Callers(tests::PlatformFleet& aFleet, CallersOptions aOptions)
+  : mFleet(aFleet)
+  , mOptions(std::move(aOptions))
+  , mInRotation(aFleet.Vms().size())
+{
+  const auto start = [this](asio::awaitable<void> aWork) {
+    mRunning += 1;
+    asio::co_spawn(mThreads.Next(), std::move(aWork), [this](const auto&) {
+      mRunning -= 1;
+    });
+  };
+  for (std::size_t vm = 0; vm < mInRotation.size(); ++vm) {
+    mInRotation[vm].store(true);
+    start(Balance(vm));
+    start(Probe(vm));
+  }
+  for (int i = 0; i < mOptions.callers; ++i) {
+    start(Call(mOptions.seed * 1000 + static_cast<std::uint64_t>(i)));
+  }
+}
+
+Callers::~Callers()
+{
+  mThreads.Stop();
+}
+
+std::vector<CallRecord>
+Callers::Stop()
+{
+  mStopping.store(true);
+  while (mRunning.load() > 0) {
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+  std::lock_guard<std::mutex> lock(mMutex);
+  std::stable_sort(
+    mCalls.begin(), mCalls.end(), [](const auto& aL, const auto& aR) {
+      return aL.sentAt < aR.sentAt;
+    });
+  return std::move(mCalls);
+}
+
+void
+Callers::Note(CallRecord aRecord)
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  mCalls.push_back(std::move(aRecord));
+}
+
+asio::awaitable<void>
+Callers::Balance(std::size_t aVm)
+{
+  int misses = 0;
+  while (!mStopping.load()) {
+    http::Request request;
+    request.target = "/magnoliatide/readyz";
+    const auto result = co_await http::Call(
+      mFleet.Vms()[aVm].ready, std::move(request), kReadyPeriod);
+    const bool ready =
+      result.status == http::CallStatus::kDone && result.response.status == 200;
+    misses = ready ? 0 : misses + 1;
+    mInRotation[aVm].store(misses < kMissesOut);
+    co_await Pause(kReadyPeriod);
+  }
+}
+
+/// Calls the route that only one configuration has, to see which is in force.
+asio::awaitable<void>
+Callers::Probe(std::size_t aVm)
+{
+  Caller caller;
+  caller.vm = aVm;
+  while (!mStopping.load()) {
+    co_await Pause(kProbePeriod);
+    CallRecord record;
+    record.kind = Kind::kProbe;
+    record.version = mVersion.load();
+    record.team = "planners";
+    record.vm = aVm;
+    record.target = FactsOf(record.kind).prefix +
+                    std::to_string(record.version) + "/" +
+                    std::to_string(++mNumber);
+    record.deadline = Seconds(2);
+    if (record.version > 0 && co_await Connect(caller)) {
+      co_await Exchange(caller, record, Duration::zero());
+    }
+    caller.connection.reset();
+  }
+}
+
+asio::awaitable<void>
+Callers::Call(std::uint64_t aSeed)
+{
+  Caller caller;
+  caller.random.seed(aSeed);
+  while (!mStopping.load()) {
+    co_await One(caller);
+    co_await Pause(caller.pause);
+  }
+}
+
+asio::awaitable<void>
+Callers::One(Caller& aCaller)
+{
+  constexpr double kKeeps = 0.8;
+  constexpr double kLeaves = 0.06;
+  auto& random = aCaller.random;
+  aCaller.pause = Between(random, 10, 80);
+  if (!aCaller.connection) {
+    std::vector<std::size_t> choices;
+    for (std::size_t vm = 0; vm < mInRotation.size(); ++vm) {
+      if (mInRotation[vm].load()) {
+        choices.push_back(vm);
+      }
+    }
+    if (choices.empty()) {
+      co_return;
+    }
+    aCaller.vm = choices[random() % choices.size()];
+    if (!co_await Connect(aCaller)) {
+      aCaller.connection.reset();
+      co_return;
+    }
+  }
+  auto record = NewCall(aCaller);
+  const bool leaves = Part(random) < kLeaves;
+  const Duration leaveAfter =
+    leaves ? Between(random, 20, 600) : Duration::zero();
+  co_await Exchange(aCaller, record, leaveAfter);
+  if (!aCaller.connection->Reusable() || Part(random) > kKeeps) {
+    aCaller.connection.reset();
+  }
+}
+
+CallRecord
+Callers::NewCall(Caller& aCaller)
+{
+  auto& random = aCaller.random;
+  constexpr Kind kKinds[] = { Kind::kQuote, Kind::kQuote,   Kind::kLetter,
+                              Kind::kStock, Kind::kDeposit, Kind::kDeposit };
+  CallRecord record;
+  record.kind = kKinds[random() % std::size(kKinds)];
+  record.vm = aCaller.vm;
+  const bool bounded = record.kind == Kind::kQuote && Part(random) < 0.5;
+  record.team = bounded ? mOptions.quota.team : "planners";
+  const auto number = ++mNumber;
+  record.target = FactsOf(record.kind).prefix + std::to_string(number);
+  record.body = "body of " + std::to_string(number);
+  record.deadline = Between(random, 1500, 5000);
+  return record;
+}
+
+tests::CallText
+Callers::TextOf(const CallRecord& aRecord) const
+{
+  tests::CallText text;
+  text.path = aRecord.target;
+  text.method = FactsOf(aRecord.kind).method;
+  text.body = aRecord.body;
+  text.id = aRecord.id;
+  text.key = "key-of-" + aRecord.team;
+  text.usage = kUsage;
+  text.deadlineMillis = static_cast<int>(
+    std::chrono::duration_cast<Milliseconds>(aRecord.deadline).count());
+  return text;
+}
+
+asio::awaitable<bool>
+Callers::Connect(Caller& aCaller)
+{
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  aCaller.connection =
+    http::MakeConnection(executor, mFleet.Vms()[aCaller.vm].callers);
+  const bool connected = co_await aCaller.connection->Connect(kConnectBound);
+  co_return connected;
+}
+
+/// Sends a call and notes what came of it. A caller that leaves closes its
+/// connection.
+asio::awaitable<void>
+Callers::Exchange(Caller& aCaller, CallRecord& aRecord, Duration aLeaveAfter)
+{
+  const auto connection = aCaller.connection;
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  aRecord.id = ToHex(Hash64(aRecord.target, mOptions.seed));
+  asio::steady_timer timer(executor);
+  if (aLeaveAfter > Duration::zero()) {
+    timer.expires_after(aLeaveAfter);
+    timer.async_wait([connection](const auto& aError) {
+      if (!aError) {
+        connection->Close();
+      }
+    });
+  }
+  auto request = mFleet.RequestOf(TextOf(aRecord));
+  aRecord.sentAt = Clock::now();
+  http::Response response;
+  aRecord.status = co_await connection->Send(std::move(request), kAnswerBound);
+  if (aRecord.status == http::CallStatus::kDone) {
+    aRecord.status = co_await connection->ReadHead(response, kAnswerBound);
+  }
+  if (aRecord.status == http::CallStatus::kDone) {
+    aRecord.status = co_await connection->ReadRest(
+      aRecord.answer, kMostAnswerBytes, kAnswerBound);
+  }
+  aRecord.endedAt = Clock::now();
+  timer.cancel();
+  aRecord.httpStatus = response.status;
+  aRecord.signature =
+    std::string(http::Find(response.headers, "Engine-Signature"));
+  aRecord.left = aRecord.status == http::CallStatus::kClosedByUs;
+  aCaller.pause += RetryAfter(response);
+  if (aRecord.status != http::CallStatus::kNotSent) {
+    Note(aRecord);
+  }
+}
+
+} // namespace magnoliatide::soak
--- /dev/null
+++ b/soak/checker_test.cpp
@@ -0,0 +1,272 @@
+// Each check of a soak finds the break that it is for, and only that.
+#include "checker.h"
+
+#include "magnoliatide/core/digest.h"
+
+#include <gtest/gtest.h>
+
+namespace magnoliatide::soak {
+namespace {
+
+constexpr TimePoint kStart = TimePoint(Seconds(1000));
+
+TimePoint
+At(int aMillis)
+{
+  return kStart + Milliseconds(aMillis);
+}
+
+std::string
+SignatureOf(const CallRecord& aCall)
+{
+  return "i-1." + ToHex(Hash64(aCall.id + aCall.target));
+}
+
+/// A history of calls that were served as they should be, for 20 s.
+class Soak : public ::testing::Test
+{
+protected:
+  Soak()
+  {
+    mHistory.vms = { "vm-1", "vm-2" };
+    mHistory.calmFrom = At(10000);
+    mHistory.quota = { "cutters", 1000, 1000, 140, Seconds(2) };
+    for (int i = 0; i < 100; ++i) {
+      Serve(static_cast<Kind>(i % 4), i * 200);
+    }
+  }
+
+  CallRecord& Serve(Kind aKind, int aMillis, std::uint64_t aVersion = 0)
+  {
+    CallRecord call;
+    call.kind = aKind;
+    call.id = "call-" + std::to_string(mHistory.calls.size());
+    call.team = "planners";
+    call.version = aVersion;
+    call.target = FactsOf(aKind).prefix + std::to_string(aVersion) + "/" +
+                  std::to_string(mHistory.calls.size());
+    call.body = "body";
+    call.deadline = Seconds(3);
+    call.sentAt = At(aMillis);
+    call.endedAt = At(aMillis + 100);
+    call.status = http::CallStatus::kDone;
+    call.httpStatus = 200;
+    call.signature = SignatureOf(call);
+    call.answer = FactsOf(aKind).stream
+                    ? standins::EventsOf(call.target, 0, kEvents)
+                    : "answer to " + call.target + " " + call.body;
+    mHistory.calls.push_back(call);
+    Run(call, "i-1", aMillis + 10, aMillis + 90);
+    return mHistory.calls.back();
+  }
+
+  standins::EngineRun& Run(const CallRecord& aCall,
+                           const std::string& aServer,
+                           int aFrom,
+                           int aUntil)
+  {
+    standins::EngineRun run;
+    run.requestId = aCall.id;
+    run.target = aCall.target;
+    run.body = aCall.body;
+    run.method = FactsOf(aCall.kind).method;
+    run.team = aCall.team;
+    run.began = At(aFrom);
+    run.ended = At(aUntil);
+    mHistory.runs.push_back({ aServer, run });
+    return mHistory.runs.back().run;
+  }
+
+  void Disturb(const char* aWhat,
+               const char* aHost,
+               int aFrom,
+               int aUntil,
+               bool aPlanned = false)
+  {
+    mHistory.disturbances.push_back(
+      { At(aFrom), At(aUntil), aWhat, aHost, aPlanned });
+  }
+
+  /// Returns the promises that were found broken, each once.
+  std::string Broken() const
+  {
+    std::string broken;
+    for (const auto& finding : Check(mHistory)) {
+      if (broken.find(finding.promise) == std::string::npos) {
+        broken += (broken.empty() ? "" : "; ") + finding.promise;
+      }
+    }
+    return broken;
+  }
+
+  History mHistory;
+};
+
+TEST_F(Soak, AGoodHistoryHasNoFindings)
+{
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(Soak, ARefusalOfWhatRanIsFound)
+{
+  auto& call = mHistory.calls[4];
+  call.httpStatus = 503;
+  call.signature.clear();
+  EXPECT_EQ(Broken(), "told not run means not run");
+}
+
+TEST_F(Soak, ADenialIsFound)
+{
+  auto& call = mHistory.calls[4];
+  call.httpStatus = 401;
+  call.signature.clear();
+  EXPECT_EQ(Broken(), "a proper call is not denied");
+}
+
+TEST_F(Soak, AnAnswerOfAnotherIsFound)
+{
+  mHistory.calls[4].signature = mHistory.calls[8].signature;
+  EXPECT_EQ(Broken(), "an answer is of its own request");
+}
+
+TEST_F(Soak, ASuccessWithoutAServerIsFound)
+{
+  mHistory.calls[4].signature.clear();
+  EXPECT_EQ(Broken(), "a success is signed by a server");
+}
+
+TEST_F(Soak, AMissingEventIsFound)
+{
+  auto& call = mHistory.calls[0];
+  ASSERT_TRUE(FactsOf(call.kind).stream);
+  call.answer = standins::EventsOf(call.target, 0, 3) +
+                standins::EventsOf(call.target, 4, kEvents);
+  EXPECT_EQ(Broken(), "an answer is whole");
+}
+
+TEST_F(Soak, ASecondRunIsFound)
+{
+  for (const auto kind : { Kind::kDeposit, Kind::kLetter }) {
+    const auto call = Serve(kind, 7000);
+    Run(call, "i-2", 7020, 7080);
+    EXPECT_EQ(Broken(), "a call runs at most once");
+    mHistory.runs.pop_back();
+    EXPECT_EQ(Broken(), "");
+  }
+  const auto repeatable = Serve(Kind::kStock, 7000);
+  Run(repeatable, "i-2", 7020, 7080);
+  EXPECT_EQ(Broken(), "");
+  Run(repeatable, "i-3", 7030, 7090);
+  EXPECT_EQ(Broken(), "a call reaches few servers");
+}
+
+TEST_F(Soak, ALateEndIsFoundUnlessItsVmWasHarmed)
+{
+  mHistory.calls[4].endedAt = mHistory.calls[4].sentAt + Milliseconds(3900);
+  EXPECT_EQ(Broken(), "a call ends in its time");
+  Disturb("pause", "vm-2", 0, 4000);
+  EXPECT_EQ(Broken(), "a call ends in its time");
+  Disturb("pause", "vm-1", 0, 500);
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(Soak, AServerThatIsHeldIsFound)
+{
+  auto& call = mHistory.calls[0];
+  call.left = true;
+  call.status = http::CallStatus::kClosedByUs;
+  mHistory.runs[0].run.ended = call.endedAt + Milliseconds(900);
+  EXPECT_EQ(Broken(), "a server is released when its caller leaves");
+}
+
+TEST_F(Soak, ACutByPlannedWorkIsFound)
+{
+  auto& call = mHistory.calls[50];
+  call.status = http::CallStatus::kCut;
+  Disturb("stop", "vm-1", 9000, 12000, true);
+  EXPECT_EQ(Broken(), "planned work cuts off nothing");
+  Disturb("crash", "i-1", 9900, 10000);
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(Soak, WhatNobodyAskedIsFound)
+{
+  CallRecord stranger = mHistory.calls[0];
+  stranger.id = "unknown";
+  Run(stranger, "i-1", 100, 200);
+  EXPECT_EQ(Broken(), "a server runs what was asked");
+  mHistory.runs.pop_back();
+  mHistory.runs[0].run.credential = "key-of-planners";
+  EXPECT_EQ(Broken(), "a server runs what was asked");
+}
+
+TEST_F(Soak, WorkForALeavingServerIsFound)
+{
+  mHistory.notices.push_back({ At(5000), "i-1", At(8000) });
+  EXPECT_EQ(Broken(), "a leaving server gets no new work");
+  mHistory.notices[0].goneAt = At(7200);
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(Soak, AConfigurationThatIsLateIsFound)
+{
+  mHistory.published = { { At(0), 1 }, { At(4000), 2 } };
+  auto& early = Serve(Kind::kProbe, 5000, 2);
+  early.httpStatus = 404;
+  early.signature.clear();
+  mHistory.runs.pop_back();
+  EXPECT_EQ(Broken(), "");
+  auto& late = Serve(Kind::kProbe, 6500, 2);
+  late.httpStatus = 404;
+  late.signature.clear();
+  mHistory.runs.pop_back();
+  EXPECT_EQ(Broken(), "a configuration is in force in time");
+  Disturb("store", "store", 4100, 4200);
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(Soak, ADroppedRouteThatStaysIsFound)
+{
+  mHistory.published = { { At(0), 1 }, { At(4000), 2 } };
+  Serve(Kind::kProbe, 5000, 1);
+  EXPECT_EQ(Broken(), "");
+  Serve(Kind::kProbe, 6500, 1);
+  EXPECT_EQ(Broken(), "a dropped route is dropped in time");
+}
+
+TEST_F(Soak, AConfigurationThatRevertsIsFound)
+{
+  mHistory.published = { { At(0), 1 }, { At(4000), 2 } };
+  Serve(Kind::kProbe, 4200, 2);
+  Serve(Kind::kProbe, 4700, 1);
+  EXPECT_EQ(Broken(), "a configuration does not revert");
+  Disturb("kill", "vm-1", 4350, 4500);
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(Soak, AQuotaThatIsExceededIsFound)
+{
+  // 1,000 a second for 2 s and 1,000 at once, and a quarter: 26 calls.
+  for (int i = 0; i < 27; ++i) {
+    if (i == 26) {
+      EXPECT_EQ(Broken(), "");
+    }
+    Serve(Kind::kQuote, 2000 + i * 10).team = "cutters";
+    mHistory.runs.back().run.team = "cutters";
+  }
+  EXPECT_EQ(Broken(), "a quota holds over all VMs");
+}
+
+TEST_F(Soak, ServiceThatDoesNotReturnIsFound)
+{
+  for (auto& call : mHistory.calls) {
+    if (call.sentAt > mHistory.calmFrom) {
+      call.httpStatus = 504;
+      call.signature.clear();
+    }
+  }
+  EXPECT_EQ(Broken(), "service returns once all is calm");
+}
+
+} // namespace
+} // namespace magnoliatide::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,132 @@
+// Runs VMs as processes on loopback, harms them and what they depend on, and
+// checks what callers and servers see.
+#include "checker.h"
+#include "director.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+#include <thread>
+
+DEFINE_uint64(seed, 1, "decides what is done, and when");
+DEFINE_int32(rounds, 1, "rounds, each with the next seed");
+DEFINE_int32(seconds, 18, "for which a round does harm");
+DEFINE_int32(faults, 16, "faults and planned steps of a round");
+DEFINE_int32(callers, 24, "callers at once");
+DEFINE_bool(history, false, "print what was done");
+
+namespace magnoliatide::soak {
+namespace {
+
+constexpr int kEnginesInAll = 6;
+constexpr int kOrderServers = 2;
+constexpr Duration kCalm = Seconds(8);
+constexpr std::size_t kMostPrinted = 12;
+
+Quota
+QuotaOfTheSoak()
+{
+  Quota quota;
+  quota.team = "cutters";
+  quota.perSecond = 1400;
+  quota.burst = 1400;
+  quota.unitsOfCall = 140;
+  quota.window = Seconds(2);
+  return quota;
+}
+
+void
+AddServers(tests::PlatformFleet& aFleet)
+{
+  const char* zones[] = { "kariakoo", "temeke", "mikocheni" };
+  for (int i = 0; i < kEnginesInAll + kOrderServers; ++i) {
+    standins::BatchEngineOptions options;
+    options.stream = i < kEnginesInAll;
+    options.service = options.stream ? "language" : "orders";
+    options.id = (options.stream ? "i-" : "o-") + std::to_string(i + 1);
+    options.zone = zones[i % 3];
+    options.events = kEvents;
+    options.perEvent = Milliseconds(12);
+    aFleet.AddEngine(options);
+  }
+}
+
+void
+PrintHistory(const History& aHistory, TimePoint aStart)
+{
+  for (const auto& done : aHistory.disturbances) {
+    std::cout << "  " << ToSeconds(done.from - aStart) << " to "
+              << ToSeconds(done.until - aStart) << " s " << done.what << " "
+              << done.host << "\n";
+  }
+  for (const auto& notice : aHistory.notices) {
+    std::cout << "  " << ToSeconds(notice.at - aStart) << " s notice of "
+              << notice.server << "\n";
+  }
+  for (const auto& published : aHistory.published) {
+    std::cout << "  " << ToSeconds(published.at - aStart) << " s configuration "
+              << published.version << "\n";
+  }
+}
+
+/// Plays one round. Returns whether all promises were kept.
+bool
+Round(std::uint64_t aSeed)
+{
+  load::Network network;
+  tests::PlatformFleet fleet(
+    "soak-" + std::to_string(aSeed),
+    { "kariakoo", "temeke", "mikocheni", "kariakoo", "temeke", "mikocheni" },
+    &network);
+  AddServers(fleet);
+  const auto quota = QuotaOfTheSoak();
+  Director::PublishFirst(fleet, quota);
+  if (!fleet.Start()) {
+    std::cout << "seed " << aSeed << ": the VMs did not get ready\n";
+    return false;
+  }
+  const TimePoint start = Clock::now();
+  CallersOptions options;
+  options.callers = FLAGS_callers;
+  options.seed = aSeed;
+  options.quota = quota;
+  Callers callers(fleet, options);
+  Director director(fleet, network, callers, quota, aSeed);
+  director.Run(FLAGS_faults, Seconds(FLAGS_seconds));
+  History history;
+  history.calmFrom = Clock::now();
+  std::this_thread::sleep_for(kCalm);
+  history.calls = callers.Stop();
+  history.quota = quota;
+  director.AddTo(history);
+  const auto findings = Check(history);
+  std::cout << "seed " << aSeed << ": " << history.calls.size() << " calls, "
+            << history.runs.size() << " runs, " << history.disturbances.size()
+            << " faults, " << findings.size() << " findings\n";
+  if (FLAGS_history || !findings.empty()) {
+    PrintHistory(history, start);
+  }
+  for (std::size_t i = 0; i < std::min(findings.size(), kMostPrinted); ++i) {
+    std::cout << "  " << findings[i].promise << ": " << findings[i].what
+              << "\n";
+  }
+  return findings.empty();
+}
+
+} // namespace
+} // namespace magnoliatide::soak
+
+int
+main(int aCount, char** aWords)
+{
+  gflags::SetUsageMessage(
+    "magnoliatide-soak [--seed N] [--rounds N] [--seconds N] [--faults N]");
+  gflags::ParseCommandLineFlags(&aCount, &aWords, true);
+  int failed = 0;
+  for (int i = 0; i < FLAGS_rounds; ++i) {
+    const auto seed = FLAGS_seed + static_cast<std::uint64_t>(i);
+    failed += magnoliatide::soak::Round(seed) ? 0 : 1;
+  }
+  std::cout << FLAGS_rounds << " rounds, " << failed << " failed\n";
+  return failed == 0 ? 0 : 1;
+}
