--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -4,6 +4,7 @@
 #include "magnoliatide/core/digest.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 namespace magnoliatide::soak {
@@ -335,29 +336,66 @@
                        });
   }
 
+  /// Returns how many of some times lie in each tenth of a window that ends
+  /// with the last of them.
+  static std::string Tenths(std::vector<TimePoint>::const_iterator aFirst,
+                            std::vector<TimePoint>::const_iterator aEnd,
+                            Duration aWindow)
+  {
+    std::array<int, 10> counts{};
+    const TimePoint from = *std::prev(aEnd) - aWindow;
+    for (; aFirst != aEnd; ++aFirst) {
+      const auto tenth = static_cast<std::size_t>(
+        10 * ToSeconds(*aFirst - from) / ToSeconds(aWindow));
+      counts[std::min<std::size_t>(tenth, 9)] += 1;
+    }
+    std::string text;
+    for (const int count : counts) {
+      text += (text.empty() ? "" : " ") + std::to_string(count);
+    }
+    return text;
+  }
+
+  /// Counts the calls of the team that were both sent and began to run within
+  /// a window, at any of its servers.
   void CheckQuota()
   {
+    struct Charge
+    {
+      TimePoint began;
+      TimePoint sent;
+    };
     const auto& quota = mHistory.quota;
-    std::vector<TimePoint> times;
+    std::vector<Charge> charges;
     for (const auto& record : mHistory.runs) {
-      if (record.run.team == quota.team) {
-        times.push_back(record.run.began);
+      const auto call = mCalls.find(record.run.requestId);
+      if (record.run.team == quota.team && call != mCalls.end()) {
+        charges.push_back({ record.run.began, call->second->sentAt });
       }
     }
-    std::sort(times.begin(), times.end());
+    std::sort(
+      charges.begin(), charges.end(), [](const auto& aA, const auto& aB) {
+        return aA.began < aB.began;
+      });
     const double allowed =
       (quota.perSecond * ToSeconds(quota.window) + quota.burst) *
       (1 + kQuotaOverage);
-    std::size_t first = 0;
-    for (std::size_t last = 0; last < times.size(); ++last) {
-      while (times[last] - times[first] > quota.window) {
-        first += 1;
+    for (const auto& last : charges) {
+      const TimePoint from = last.began - quota.window;
+      std::vector<TimePoint> within;
+      for (const auto& charge : charges) {
+        if (charge.sent >= from && charge.began <= last.began) {
+          within.push_back(charge.began);
+        }
       }
-      const auto units =
-        static_cast<double>(last - first + 1) * quota.unitsOfCall;
+      const auto units = static_cast<double>(within.size()) * quota.unitsOfCall;
       if (units > allowed) {
         Add("a quota holds over all VMs",
-            std::to_string(units) + " units of " + std::to_string(allowed));
+            std::to_string(units) + " units of " + std::to_string(allowed) +
+              " in the window that ends " +
+              std::to_string(ToSeconds(mHistory.calmFrom - last.began)) +
+              " s before the calm; runs in each tenth of it: " +
+              Tenths(within.begin(), within.end(), quota.window));
         return;
       }
     }
--- a/soak/checker_test.cpp
+++ b/soak/checker_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace magnoliatide::soak {
 namespace {
 
@@ -255,6 +257,15 @@
     mHistory.runs.back().run.team = "cutters";
   }
   EXPECT_EQ(Broken(), "a quota holds over all VMs");
+  // One that was sent before the window and waited counts for none of it.
+  const auto first =
+    std::find_if(mHistory.calls.begin(),
+                 mHistory.calls.end(),
+                 [](const auto& aCall) { return aCall.team == "cutters"; });
+  first->sentAt = At(280);
+  EXPECT_EQ(Broken(), "a quota holds over all VMs");
+  first->sentAt = At(260);
+  EXPECT_EQ(Broken(), "");
 }
 
 TEST_F(Soak, ServiceThatDoesNotReturnIsFound)
--- a/soak/director.cpp
+++ b/soak/director.cpp
@@ -93,13 +93,20 @@
 void
 Director::Until(TimePoint aTime)
 {
+  ActOnWhatIsDue();
   while (Clock::now() < aTime) {
-    while (!mPlan.empty() && mPlan.begin()->first <= Clock::now()) {
-      const auto act = std::move(mPlan.begin()->second);
-      mPlan.erase(mPlan.begin());
-      act();
-    }
     std::this_thread::sleep_for(kStep);
+    ActOnWhatIsDue();
+  }
+}
+
+void
+Director::ActOnWhatIsDue()
+{
+  while (!mPlan.empty() && mPlan.begin()->first <= Clock::now()) {
+    const auto act = std::move(mPlan.begin()->second);
+    mPlan.erase(mPlan.begin());
+    act();
   }
 }
 
--- a/soak/director.h
+++ b/soak/director.h
@@ -39,6 +39,7 @@
 
   void At(TimePoint aTime, Act aAct);
   void Until(TimePoint aTime);
+  void ActOnWhatIsDue();
   void Note(const std::string& aWhat,
             const std::string& aHost,
             Duration aTime,
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -102,7 +102,7 @@
   const auto findings = Check(history);
   std::cout << "seed " << aSeed << ": " << history.calls.size() << " calls, "
             << history.runs.size() << " runs, " << history.disturbances.size()
-            << " faults, " << findings.size() << " findings\n";
+            << " faults, " << findings.size() << " findings" << std::endl;
   if (FLAGS_history || !findings.empty()) {
     PrintHistory(history, start);
   }
