--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -125,8 +125,7 @@
 {
   int misses = 0;
   while (!mStopping.load()) {
-    http::Request request;
-    request.target = "/magnoliatide/readyz";
+    auto request = tests::PlatformFleet::ReadyRequest();
     const auto result = co_await http::Call(
       mFleet.Vms()[aVm].ready, std::move(request), kReadyPeriod);
     const bool ready =
@@ -279,8 +278,7 @@
   aRecord.endedAt = Clock::now();
   timer.cancel();
   aRecord.httpStatus = response.status;
-  aRecord.signature =
-    std::string(http::Find(response.headers, "Engine-Signature"));
+  aRecord.signature = tests::PlatformFleet::SignatureOf(response);
   aRecord.left = aRecord.status == http::CallStatus::kClosedByUs;
   aCaller.pause += RetryAfter(response);
   if (aRecord.status != http::CallStatus::kNotSent) {
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -248,13 +248,25 @@
 bool
 PlatformFleet::IsReady(std::size_t aVm)
 {
-  http::Request request;
-  request.target = "/magnoliatide/readyz";
-  const auto result = Send(mVms[aVm].ready, request, Seconds(1)).get();
+  const auto result = Send(mVms[aVm].ready, ReadyRequest(), Seconds(1)).get();
   return result.status == http::CallStatus::kDone &&
          result.response.status == 200;
 }
 
+http::Request
+PlatformFleet::ReadyRequest()
+{
+  http::Request request;
+  request.target = "/magnoliatide/readyz";
+  return request;
+}
+
+std::string
+PlatformFleet::SignatureOf(const http::Response& aAnswer)
+{
+  return std::string(http::Find(aAnswer.headers, "Engine-Signature"));
+}
+
 http::Request
 PlatformFleet::RequestOf(const CallText& aCall)
 {
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -135,6 +135,12 @@
   /// Makes a request as a call, for callers with connections of their own.
   http::Request RequestOf(const CallText& aCall);
 
+  /// Makes the request that a balancer sends to see whether a VM is ready.
+  static http::Request ReadyRequest();
+
+  /// Returns the signature of the server that gave an answer.
+  static std::string SignatureOf(const http::Response& aAnswer);
+
   /// Returns a VM's log so far.
   std::string Log(std::size_t aVm) const;
 
