Repeat a copy of a message in the exploration of coordinators

The fault is the test's own; no product code reads it.

Change: a copy is delivered.

After: all 20 tests of the module pass, with the address sanitizer (before: it ended the program) and without.

--- a/src/fleet/explore_test.cpp
+++ b/src/fleet/explore_test.cpp
@@ -103,7 +103,8 @@
   void Repeat(std::mt19937& aRandom)
   {
     if (!mDelivered.empty()) {
-      Deliver(mDelivered[aRandom() % mDelivered.size()]);
+      const Flying again = mDelivered[aRandom() % mDelivered.size()];
+      Deliver(again); // A copy, as it is added to the delivered ones.
     }
   }
 
