Choose test ports below those of outgoing connections

FreePort() asked the system for a port and released it; the system then assigned the same port to an outgoing connection, since both come from the range 32768 to 60999.

FreePort() now takes ports from 10000 to 32767, which the system does not assign, and does not return a port twice in one process.

--- a/load/process.cpp
+++ b/load/process.cpp
@@ -3,9 +3,11 @@
 
 #include <boost/asio.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <random>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -20,6 +22,12 @@
 
 constexpr Duration kPollInterval = Milliseconds(5);
 
+/// Ports that FreePort() returns. They are below the ports that the system
+/// assigns to outgoing connections, so that no such connection takes one before
+/// its user listens on it.
+constexpr unsigned kFirstPort = 10000;
+constexpr unsigned kEndOfPorts = 32768;
+
 } // namespace
 
 Process::Process(const std::vector<std::string>& aCommand,
@@ -145,14 +153,23 @@
 {
   using boost::asio::ip::tcp;
   using boost::asio::ip::udp;
+  static std::atomic<unsigned> sNext{ std::random_device{}() };
   boost::asio::io_context context;
   const auto host = boost::asio::ip::make_address(aHost);
   while (true) {
-    tcp::acceptor acceptor(context, tcp::endpoint(host, 0));
-    const auto port = acceptor.local_endpoint().port();
-    udp::socket socket(context, udp::v4());
+    const auto port = static_cast<std::uint16_t>(
+      kFirstPort + sNext.fetch_add(1) % (kEndOfPorts - kFirstPort));
     boost::system::error_code error;
-    socket.bind(udp::endpoint(host, port), error);
+    tcp::acceptor acceptor(context);
+    acceptor.open(tcp::v4());
+    acceptor.bind(tcp::endpoint(host, port), error);
+    if (!error) {
+      acceptor.listen(1, error);
+    }
+    udp::socket socket(context, udp::v4());
+    if (!error) {
+      socket.bind(udp::endpoint(host, port), error);
+    }
     if (!error) {
       return port;
     }
