--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <deque>
@@ -84,6 +85,13 @@
     mFaultyRequests = aCount;
   }
 
+  void FallSilent(Duration aTime) override
+  {
+    Post([this, aTime] {
+      mSilentUntil = std::max(mSilentUntil, Clock::now() + aTime);
+    });
+  }
+
   void Crash() override
   {
     Post([this] {
@@ -211,6 +219,7 @@
         co_return false;
       }
     }
+    co_await AwaitSilenceEnd();
     const auto& message = aParser.get();
     if (health) {
       co_return co_await Write(aSocket, MakeResponse(200, "ok", "", false));
@@ -370,8 +379,9 @@
     return text + "\r\n" + aBody;
   }
 
-  static asio::awaitable<bool> Write(tcp::socket& aSocket, std::string aText)
+  asio::awaitable<bool> Write(tcp::socket& aSocket, std::string aText)
   {
+    co_await AwaitSilenceEnd();
     const auto [error, bytes] =
       co_await asio::async_write(aSocket, asio::buffer(aText), kNoThrow);
     static_cast<void>(bytes);
@@ -387,6 +397,13 @@
     co_return false;
   }
 
+  asio::awaitable<void> AwaitSilenceEnd()
+  {
+    while (Clock::now() < mSilentUntil) {
+      co_await Sleep(mSilentUntil - Clock::now());
+    }
+  }
+
   /// Suspends the calling coroutine for a time.
   asio::awaitable<void> Sleep(Duration aTime)
   {
@@ -404,6 +421,7 @@
   std::atomic<int> mArrivals{ 0 };
   // The members below are used on the event loop only.
   int mRunning = 0;
+  TimePoint mSilentUntil{}; ///< Nothing is sent before this time.
   std::set<tcp::socket*> mSockets;
   http::Threads mThreads;
   asio::io_context& mLoop;
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -72,6 +72,10 @@
   /// @param aCount Number of affected requests; negative for all.
   virtual void SetFault(EngineFault aFault, int aCount = -1) = 0;
 
+  /// Suspends the engine for a time: it keeps its connections and requests, but
+  /// sends nothing and starts no run until then.
+  virtual void FallSilent(Duration aTime) = 0;
+
   /// Resets all connections and stops listening.
   virtual void Crash() = 0;
 
--- /dev/null
+++ b/tests/silence_process_test.cpp
@@ -0,0 +1,209 @@
+// Guards against answers that end before their time because a sound server sent
+// nothing for a moment. Real VM processes run with test doubles of the store
+// and the servers.
+#include "platform_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace magnoliatide::tests {
+namespace {
+
+using http::CallStatus;
+using standins::BatchEngineOptions;
+using standins::EngineFault;
+
+/// Longer than the silence after which another server is looked for.
+constexpr Duration kSilence = Milliseconds(1500);
+
+constexpr int kEventCount = 100;
+constexpr Duration kEventInterval = Milliseconds(10);
+
+class Silence : public ::testing::Test
+{
+protected:
+  Silence()
+    : mFleet(NameOfTest())
+  {
+  }
+
+  static std::string NameOfTest()
+  {
+    const auto* info = ::testing::UnitTest::GetInstance()->current_test_info();
+    return std::string(info->test_suite_name()) + "." + info->name();
+  }
+
+  void StartWith(int aEngines)
+  {
+    for (int i = 1; i <= aEngines; ++i) {
+      BatchEngineOptions options;
+      options.id = "i-" + std::to_string(i);
+      options.events = kEventCount;
+      options.eventInterval = kEventInterval;
+      mFleet.AddEngine(options);
+    }
+    mFleet.PublishDefaultRoutes();
+    ASSERT_TRUE(mFleet.Start());
+  }
+
+  standins::BatchEngine& At(std::size_t aIndex)
+  {
+    return *mFleet.Engines()[aIndex];
+  }
+
+  static CallSpec Quote(int aNumber)
+  {
+    CallSpec call;
+    call.path = "/quotes/" + std::to_string(aNumber);
+    return call;
+  }
+
+  void StartQuotes(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      mPending.push_back(mFleet.StartCall(0, Quote(i)));
+    }
+    std::this_thread::sleep_for(Milliseconds(300));
+  }
+
+  /// Expects that each started call gets all events of its stream.
+  void ExpectCompleteQuotes()
+  {
+    for (std::size_t i = 0; i < mPending.size(); ++i) {
+      const auto result = mPending[i].Result();
+      const auto path = Quote(static_cast<int>(i)).path;
+      EXPECT_EQ(result.status, CallStatus::kDone) << path;
+      EXPECT_EQ(result.response.status, 200) << path;
+      const auto expected = standins::ExpectedEvents(path, 0, kEventCount);
+      EXPECT_TRUE(result.response.body == expected)
+        << path << ": " << result.response.body.size() << " bytes of "
+        << expected.size();
+    }
+  }
+
+  void FallSilentEverywhere(Duration aTime)
+  {
+    for (auto& engine : mFleet.Engines()) {
+      engine->FallSilent(aTime);
+    }
+  }
+
+  PlatformFleet mFleet;
+  std::vector<PlatformFleet::Pending> mPending;
+};
+
+// Guards against a stream that is aborted when its server pauses and no other
+// server can continue it.
+TEST_F(Silence, AStreamContinuesAfterAPauseOfItsOnlyServer)
+{
+  StartWith(1);
+  StartQuotes(3);
+  At(0).FallSilent(kSilence);
+  ExpectCompleteQuotes();
+  for (const auto& run : At(0).Runs()) {
+    EXPECT_FALSE(run.dropped) << run.target;
+  }
+}
+
+// Guards against streams that are aborted when all servers pause at the same
+// time.
+TEST_F(Silence, StreamsContinueAfterAPauseOfAllServers)
+{
+  StartWith(3);
+  StartQuotes(9);
+  FallSilentEverywhere(kSilence);
+  ExpectCompleteQuotes();
+  EXPECT_EQ(mFleet.Call(0, Quote(10)).status, CallStatus::kDone);
+}
+
+// Guards against streams that are aborted when their server pauses while a new
+// configuration moves their route to a service without servers.
+TEST_F(Silence, StreamsContinueAfterAPauseBesideAConfigurationChange)
+{
+  StartWith(2);
+  StartQuotes(6);
+  FallSilentEverywhere(kSilence);
+  RouteConfig moved;
+  moved.service = "elsewhere";
+  mFleet.Publish({ moved }, { TeamConfig() });
+  std::this_thread::sleep_for(Milliseconds(700));
+  RouteConfig removed;
+  removed.prefix = "/other/";
+  mFleet.Publish({ removed }, { TeamConfig() });
+  ExpectCompleteQuotes();
+}
+
+// Guards against a stream that is aborted because the server that should
+// continue it rejects the request.
+TEST_F(Silence, AStreamContinuesIfTheOtherServerIsFull)
+{
+  StartWith(2);
+  StartQuotes(2);
+  for (std::size_t i = 0; i < 2; ++i) {
+    if (At(i).Runs().empty()) {
+      At(i).SetFault(EngineFault::kFull);
+    } else {
+      At(i).FallSilent(kSilence);
+      At(i).SetFault(EngineFault::kFull);
+    }
+  }
+  ExpectCompleteQuotes();
+}
+
+// Guards against a stream that is aborted because the server that should
+// continue it cannot be reached.
+TEST_F(Silence, AStreamContinuesIfTheOtherServerIsGone)
+{
+  StartWith(2);
+  mPending.push_back(mFleet.StartCall(0, Quote(0)));
+  std::this_thread::sleep_for(Milliseconds(300));
+  const std::size_t busy = At(0).Runs().empty() ? 1 : 0;
+  At(busy).FallSilent(kSilence);
+  At(1 - busy).Crash();
+  ExpectCompleteQuotes();
+}
+
+// Guards against a request that fails because its server pauses before the
+// first event.
+TEST_F(Silence, ARequestIsAnsweredAfterAPauseBeforeItsFirstEvent)
+{
+  StartWith(1);
+  At(0).FallSilent(kSilence);
+  mPending.push_back(mFleet.StartCall(0, Quote(0)));
+  ExpectCompleteQuotes();
+}
+
+// Guards against callers that wait in vain for a server that never sends again
+// although another server could continue the stream.
+TEST_F(Silence, AStreamMovesAwayFromAServerThatStaysSilent)
+{
+  StartWith(2);
+  StartQuotes(4);
+  const std::size_t silent = At(0).Runs().empty() ? 1 : 0;
+  At(silent).FallSilent(Seconds(20));
+  ExpectCompleteQuotes();
+}
+
+// Guards against a request that two servers work on at the same time, because
+// the first one was not released when the second one continued the stream.
+TEST_F(Silence, AServerIsReleasedWhenAnotherContinuesItsStream)
+{
+  StartWith(2);
+  mPending.push_back(mFleet.StartCall(0, Quote(0)));
+  std::this_thread::sleep_for(Milliseconds(300));
+  const std::size_t silent = At(0).Runs().empty() ? 1 : 0;
+  At(silent).FallSilent(kSilence);
+  ExpectCompleteQuotes();
+  std::this_thread::sleep_for(kSilence);
+  const auto first = At(silent).Runs();
+  const auto second = At(1 - silent).Runs();
+  ASSERT_EQ(first.size(), 1u);
+  ASSERT_EQ(second.size(), 1u);
+  EXPECT_TRUE(first[0].dropped);
+  EXPECT_FALSE(second[0].dropped);
+  EXPECT_FALSE(second[0].lastEventId.empty());
+}
+
+} // namespace
+} // namespace magnoliatide::tests
