Keep a silent server's stream until another server accepts it

Callers saw the connection of a stream reset, or got 502 before the first event, although the server was sound and would have continued.

Cause: a resumable stream was closed after 0.9 s without an event, and only then was another server looked for. Whatever went wrong from there on ended the request: no usable server, a used-up retry budget, a full queue, a server that rejected the request or could not be reached, a route that had moved. The class of fault is a timeout that is taken for a failure: work is given up on a suspicion, before its replacement exists.

From 0.9 s on another server is looked for, repeatedly, while the run goes on. An event of the first server ends the search. A server that rejected a request no longer counts as an attempt, as it did not run it.

--- a/include/magnoliatide/fleet/dispatch_client.h
+++ b/include/magnoliatide/fleet/dispatch_client.h
@@ -85,6 +85,9 @@
   /// Reports the first event of the answer to a dispatched request.
   void RecordFirstEvent(policy::JobId aJob, TimePoint aNow);
 
+  /// Reports that the server of a dispatched request is silent.
+  void RecordSilence(policy::JobId aJob, TimePoint aNow);
+
   /// Reports the end of a dispatched request.
   void Finish(policy::JobId aJob,
               const policy::SendReport& aReport,
--- a/include/magnoliatide/forward/dispatcher.h
+++ b/include/magnoliatide/forward/dispatcher.h
@@ -41,6 +41,10 @@
   /// Records that the first event of the answer to a sent request arrived.
   virtual void RecordFirstEvent(policy::JobId aId) = 0;
 
+  /// Records that the server of a sent request has been silent for a while. The
+  /// send goes on.
+  virtual void RecordSilence(policy::JobId aId) = 0;
+
   /// Records how a send ended.
   virtual void Finish(policy::JobId aId, const policy::SendReport& aReport) = 0;
 };
--- a/include/magnoliatide/policy/allocator.h
+++ b/include/magnoliatide/policy/allocator.h
@@ -81,6 +81,10 @@
   /// Records the first event of the response to a running request.
   void RecordFirstEvent(const JobKey& aKey);
 
+  /// Records that the server of a sent request has been silent for a while. The
+  /// request keeps its slot.
+  void RecordSilence(const JobKey& aKey, TimePoint aNow);
+
   /// Records the result of a running request and dispatches queued ones.
   Allocations Finish(const JobKey& aKey,
                      const SendReport& aReport,
--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -327,7 +327,9 @@
 struct DispatchProgress
 {
   std::uint64_t number = 0;
-  bool ended = false;      ///< If false, the first event was received.
+  /// If false, the first event was received or, with the result kSilent, the
+  /// server has been silent for a while.
+  bool ended = false;
   std::uint8_t result = 0; ///< A policy::SendResult.
   float outputTokens = 0;
   float laterTokens = 0; ///< Output tokens after the first event.
--- a/src/fleet/dispatch_client.cpp
+++ b/src/fleet/dispatch_client.cpp
@@ -172,6 +172,25 @@
   Enqueue(found->second.coordinator, progress);
 }
 
+void
+DispatchClient::RecordSilence(policy::JobId aJob, TimePoint aNow)
+{
+  const auto found = mDispatched.find(aJob);
+  if (found == mDispatched.end()) {
+    return;
+  }
+  const auto& sent = found->second;
+  wire::DispatchProgress progress;
+  progress.number = sent.number;
+  progress.result = static_cast<std::uint8_t>(policy::SendResult::kSilent);
+  Enqueue(sent.coordinator, progress);
+  if (sent.coordinator != mOptions.self) {
+    policy::SendReport report;
+    report.result = policy::SendResult::kSilent;
+    mLocal.Learn(sent.job, mOptions.zone, sent.server, report, aNow);
+  }
+}
+
 void
 DispatchClient::Finish(policy::JobId aJob,
                        const policy::SendReport& aReport,
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -279,6 +279,12 @@
                               TimePoint aNow)
 {
   const policy::JobKey key{ aVm, aProgress.number };
+  constexpr auto kSilent =
+    static_cast<std::uint8_t>(policy::SendResult::kSilent);
+  if (!aProgress.ended && aProgress.result == kSilent) {
+    mAllocator.RecordSilence(key, aNow);
+    return;
+  }
   if (!aProgress.ended) {
     mAllocator.RecordFirstEvent(key);
     return;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -2,6 +2,7 @@
 #include "magnoliatide/forward/forwarder.h"
 
 #include "request.h"
+#include "request_log.h"
 #include "sender.h"
 
 #include "magnoliatide/routing/change.h"
@@ -17,15 +18,6 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
-/// Returns the log event for the end of a send. Log lines are rate-limited per
-/// event. Failures have an event of their own, so that frequent successes do
-/// not suppress the more valuable lines of failures.
-const char*
-SendEndEvent(SendOutcome aOutcome)
-{
-  return aOutcome == SendOutcome::kAnswered ? "answered" : "run-ended";
-}
-
 /// Returns the name under which an unknown credential is logged, or empty if
 /// the refusal has another reason.
 std::string
@@ -48,6 +40,8 @@
 
   asio::awaitable<void> Handle(http::Exchange& aExchange);
   asio::awaitable<void> Serve(RequestPointer aRequest);
+  asio::awaitable<SendEnd> RunSends(RequestPointer aRequest,
+                                    Decision aDecision);
   asio::awaitable<Decision> AwaitDecision(RequestPointer aRequest);
   asio::awaitable<void> Refuse(RequestPointer aRequest, Refusal aRefusal);
   asio::awaitable<void> FinishAnswer(RequestPointer aRequest);
@@ -55,13 +49,6 @@
                                        std::string aWhy);
   void WatchForCancellation(const RequestPointer& aRequest);
   void Cancel(Request& aRequest);
-  void LogSend(const Request& aRequest, const Decision& aDecision) const;
-  void LogSendEnd(const Request& aRequest,
-                  const Decision& aDecision,
-                  const SendEnd& aEnd) const;
-  void CountSendEnd(const Request& aRequest,
-                    const Decision& aDecision,
-                    const SendEnd& aEnd);
   void CountRequestEnd(const Request& aRequest, const char* aOutcome);
   void LogRefusal(const Request& aRequest, const Refusal& aRefusal) const;
 
@@ -82,7 +69,8 @@
     co_await Refuse(request, std::move(*refusal));
     co_return;
   }
-  request->job.id = ++lastId;
+  request->newJobId = [this] { return ++lastId; };
+  request->job.id = request->newJobId();
   WatchForCancellation(request);
   co_await Serve(request);
   request->ended = true;
@@ -119,12 +107,8 @@
     }
     // The first send is charged to the team's quota, retries are not.
     aRequest->job.quotaUnits = 0;
-    LogSend(*aRequest, decision);
-    Sender sender(params, aRequest, decision);
-    const SendEnd end = co_await sender.Run();
-    LogSendEnd(*aRequest, decision, end);
-    CountSendEnd(*aRequest, decision, end);
-    params.dispatcher->Finish(aRequest->job.id, end.report);
+    LogSend(params, *aRequest, decision);
+    const SendEnd end = co_await RunSends(aRequest, decision);
     aRequest->mayHaveRun |=
       end.outcome == SendOutcome::kLost || end.outcome == SendOutcome::kFailed;
     if (end.outcome == SendOutcome::kAnswered &&
@@ -134,11 +118,9 @@
     if (end.outcome == SendOutcome::kAnswered || aRequest->callerDisconnected) {
       break;
     }
-    aRequest->job.excludedServers.push_back(decision.server.id);
     aRequest->job.resumes = aRequest->writer != nullptr;
     aRequest->job.failed = end.outcome == SendOutcome::kFailed;
-    if (aRequest->mayHaveRun &&
-        !aRequest->MayRetry(aRequest->job.serversReached)) {
+    if (aRequest->mayHaveRun && !aRequest->MayRetry()) {
       co_await FailUnresolved(aRequest, end.detail);
       co_return;
     }
@@ -147,18 +129,26 @@
                   aRequest->callerDisconnected ? "caller-gone" : "answered");
 }
 
-void
-Forwarder::Core::CountSendEnd(const Request& aRequest,
-                              const Decision& aDecision,
-                              const SendEnd& aEnd)
+/// Sends the request to a server and, while others take its stream over, relays
+/// their answers. Returns how the last send ended.
+asio::awaitable<SendEnd>
+Forwarder::Core::RunSends(RequestPointer aRequest, Decision aDecision)
 {
-  const auto& kind = aRequest.job.kind;
-  params.metrics->Count("sends_total",
-                        { { "server", aDecision.server.id },
-                          { "result", policy::Name(aEnd.report.result) } });
-  if (aEnd.report.toFirstEvent > Duration::zero()) {
-    params.metrics->Observe(
-      "first_event_seconds", { { "kind", kind } }, aEnd.report.toFirstEvent);
+  auto sender =
+    std::make_shared<Sender>(params, aRequest, aDecision, aRequest->job.id);
+  SendEnd end = co_await sender->Run();
+  while (true) {
+    RecordSendEnd(params, *aRequest, sender->Server().id, end);
+    params.dispatcher->Finish(sender->JobId(), end.report);
+    if (end.outcome != SendOutcome::kAnswered) {
+      aRequest->job.excludedServers.push_back(sender->Server().id);
+    }
+    if (!end.successor) {
+      co_return end;
+    }
+    aRequest->mayHaveRun = true;
+    sender = std::move(end.successor);
+    end = co_await sender->Resume();
   }
 }
 
@@ -194,8 +184,7 @@
   if (aRequest->expired) {
     Cancel(*aRequest);
   } else {
-    aRequest->job.retryAllowed =
-      aRequest->MayRetry(aRequest->job.serversReached + 1);
+    aRequest->job.retryAllowed = aRequest->MayRetry(1);
     params.dispatcher->Submit(aRequest->job, std::move(onDecision));
   }
   auto [error, decision] = co_await aRequest->mailbox.async_receive(kNoThrow);
@@ -297,49 +286,6 @@
     params.dialect->EncodeRefusal(aRequest->call.id, aRefusal));
 }
 
-void
-Forwarder::Core::LogSend(const Request& aRequest,
-                         const Decision& aDecision) const
-{
-  const auto& job = aRequest.job;
-  telemetry::LogInfo(
-    "send",
-    { { "request", aRequest.call.id },
-      { "kind", job.kind },
-      { "team", job.team },
-      { "tier", job.tier },
-      { "prompt", static_cast<std::int64_t>(job.promptTokens) },
-      { "output", static_cast<std::int64_t>(job.outputTokens) },
-      { "server", aDecision.server.id },
-      { "zone", aDecision.server.zone },
-      { "why", aDecision.why },
-      { "by", aDecision.by },
-      { "config", aRequest.table->version },
-      { "servers", params.serversRevision() },
-      { "age_ms", Clock::now() - job.arrival },
-      { "left_ms", aRequest.TimeLeft(Clock::now()) } });
-}
-
-void
-Forwarder::Core::LogSendEnd(const Request& aRequest,
-                            const Decision& aDecision,
-                            const SendEnd& aEnd) const
-{
-  const auto& report = aEnd.report;
-  telemetry::LogInfo(
-    SendEndEvent(aEnd.outcome),
-    { { "request", aRequest.call.id },
-      { "server", aDecision.server.id },
-      { "result", policy::Name(report.result) },
-      { "status", aEnd.status },
-      { "detail", aEnd.detail },
-      { "tokens", static_cast<std::int64_t>(report.outputTokens) },
-      { "first_ms", report.toFirstEvent },
-      { "gap_ms", report.longestGap },
-      { "run_ms", report.toEnd },
-      { "age_ms", Clock::now() - aRequest.job.arrival } });
-}
-
 void
 Forwarder::Core::LogRefusal(const Request& aRequest,
                             const Refusal& aRefusal) const
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -13,6 +13,7 @@
 #include <boost/asio/experimental/channel.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +42,7 @@
   boost::asio::steady_timer timer;
 
   Call call;
+  std::function<policy::JobId()> newJobId; ///< Makes ids of further sends.
   routing::TablePointer table;
   const routing::Route* route = nullptr; ///< Points into the table.
   const routing::Team* team = nullptr;   ///< Points into the table, or null.
@@ -51,6 +53,7 @@
   bool expired = false;            ///< The deadline has passed.
   bool ended = false;      ///< The final answer is being or was written.
   bool mayHaveRun = false; ///< After a send that was lost or failed.
+  int runs = 0; ///< Number of servers that run it or may have run it.
   std::optional<http::Response> answer; ///< Complete, to be sent.
   /// A server's error response, relayed if no other server can be tried.
   std::optional<http::Response> serverError;
@@ -60,12 +63,13 @@
   std::shared_ptr<EventWriter> writer;
   EventStream events; ///< Over all sends of a streamed answer.
 
-  /// Returns whether the request may be retried, given that it reached
-  /// aServersReached servers and may have run.
-  bool MayRetry(int aServersReached) const
+  /// Returns whether the request may be retried although it may have run.
+  ///
+  /// @param aFurtherRuns Runs to assume in addition to those so far.
+  bool MayRetry(int aFurtherRuns = 0) const
   {
     return route->IsRetryable() && !expired &&
-           aServersReached < route->attempts;
+           runs + aFurtherRuns < route->attempts;
   }
 
   Duration TimeLeft(TimePoint aNow) const { return job.deadline - aNow; }
--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -1,6 +1,8 @@
 // Connecting, sending and relaying.
 #include "sender.h"
 
+#include "magnoliatide/telemetry/log.h"
+
 #include <boost/asio.hpp>
 
 #include <algorithm>
@@ -15,9 +17,16 @@
 /// faster than waiting.
 constexpr Duration kConnectTimeout = Milliseconds(200);
 
-/// Maximum silence of a stream that can resume on another server. Callers
-/// disconnect after two seconds or more.
-constexpr Duration kStallTimeout = Milliseconds(900);
+/// Silence of a resumable stream after which it is reported to the scheduler.
+constexpr Duration kSilenceTimeout = Milliseconds(800);
+
+/// Silence after which another server is looked for. Callers disconnect after
+/// two seconds or more. The time since the report lets those of other streams
+/// arrive, so that a stream does not move to a server that is silent as well.
+constexpr Duration kSearchTimeout = Milliseconds(900);
+
+/// Interval between searches for another server during a silence.
+constexpr Duration kSearchInterval = Milliseconds(300);
 
 /// Maximum idle time of a connection that is reused for a request that must not
 /// run twice. If the server closed the connection at that moment, the outcome
@@ -47,39 +56,47 @@
          Seconds(1);
 }
 
-/// Returns the timeout for the next event of a stream.
-Duration
-EventTimeout(const Request& aRequest)
-{
-  const bool resumable =
-    aRequest.route->stream && aRequest.MayRetry(aRequest.job.serversReached);
-  return resumable ? kStallTimeout : StepTimeout(aRequest);
-}
-
 } // namespace
 
 Sender::Sender(const ForwarderParams& aParams,
                RequestPointer aRequest,
-               const Decision& aDecision)
+               const Decision& aDecision,
+               policy::JobId aJobId)
   : mParams(aParams)
   , mRequest(std::move(aRequest))
   , mServer(aDecision.server)
+  , mJobId(aJobId)
   , mProbe(aDecision.probe)
+  , mHeadRead(mRequest->executor)
+  , mSilenceTimer(mRequest->executor)
 {
 }
 
 asio::awaitable<SendEnd>
 Sender::Run()
+{
+  mRelaying = true;
+  auto failure = co_await Start();
+  if (failure) {
+    mRequest->connection.reset();
+    co_return std::move(*failure);
+  }
+  WatchForSilence(kSilenceTimeout);
+  co_await AwaitHead();
+  SendEnd end = co_await RelayWatched();
+  co_return end;
+}
+
+asio::awaitable<std::optional<SendEnd>>
+Sender::Start()
 {
   mEventsBefore = mRequest->events.EventCount();
   const bool connected = co_await Connect();
-  if (mRequest->callerDisconnected || mRequest->expired) {
-    mRequest->connection.reset();
+  if (mClosed || mRequest->callerDisconnected || mRequest->expired) {
     co_return End(
       SendOutcome::kNotRun, policy::SendResult::kCancelled, "cancelled");
   }
   if (!connected) {
-    mRequest->connection.reset();
     const bool unanswered = mConnection->ConnectTimedOut();
     mParams.pool->CloseIdle(mRequest->executor, mServer.address);
     co_return End(SendOutcome::kNotRun,
@@ -89,24 +106,172 @@
   }
   if (!mParams.usable(mServer)) {
     mParams.pool->Release(mRequest->executor, mServer.address, mConnection);
-    mRequest->connection.reset();
     co_return End(
       SendOutcome::kNotRun,
       policy::SendResult::kNotSent,
       "the server stopped accepting requests while the VM connected");
   }
-  SendEnd end = co_await Exchange();
-  if (mReused && end.report.result == policy::SendResult::kNotSent) {
+  bool sent = co_await SendRequest();
+  if (!sent && mReused) {
     // The server had closed the reused connection, but may accept a new one.
     const bool reconnected = co_await OpenConnection();
     if (reconnected) {
-      end = co_await Exchange();
+      sent = co_await SendRequest();
     }
   }
+  if (!sent) {
+    co_return End(SendOutcome::kNotRun,
+                  policy::SendResult::kNotSent,
+                  "the connection was closed before the send");
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<void>
+Sender::AwaitHead()
+{
+  mReading = true;
+  AnswerHead head;
+  const auto status = co_await ReadMatchingHead(head);
+  mReading = false;
+  mHead = std::move(head);
+  mHeadStatus = status;
+  mHeadRead.cancel();
+}
+
+bool
+Sender::HeadAccepts() const
+{
+  return mHeadStatus == http::CallStatus::kDone && !mHead.notRun &&
+         mHead.status >= 200 && mHead.status < 300 && mHead.signedByServer &&
+         !mHead.encoded;
+}
+
+asio::awaitable<SendEnd>
+Sender::Reject()
+{
+  if (mClosed) {
+    co_return End(
+      SendOutcome::kLost, policy::SendResult::kCancelled, "cancelled");
+  }
+  if (mHeadStatus != http::CallStatus::kDone) {
+    co_return EndLost(mHeadStatus.value_or(http::CallStatus::kCut));
+  }
+  mStatus = mHead.status;
+  if (mHead.notRun) {
+    SendEnd end = co_await HandleNotRun(std::move(mHead));
+    co_return end;
+  }
+  mConnection->Close();
+  co_return End(SendOutcome::kLost,
+                policy::SendResult::kFailed,
+                "the server cannot continue the stream");
+}
+
+asio::awaitable<SendEnd>
+Sender::Resume()
+{
+  mRelaying = true;
+  mRequest->connection = mConnection;
+  if (mRequest->callerDisconnected || mRequest->expired) {
+    mConnection->Close();
+  }
+  while (!mHeadStatus) {
+    mHeadRead.expires_at(asio::steady_timer::time_point::max());
+    co_await mHeadRead.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  WatchForSilence(kSilenceTimeout);
+  SendEnd end = co_await RelayWatched();
+  co_return end;
+}
+
+/// Relays the answer. Returns a successor if another server has taken the
+/// stream over.
+asio::awaitable<SendEnd>
+Sender::RelayWatched()
+{
+  SendEnd end = co_await Relay();
+  mRelaying = false;
+  mSilenceTimer.cancel();
   mRequest->connection.reset();
+  if (!mTakeover) {
+    co_return end;
+  }
+  const bool over = end.outcome == SendOutcome::kAnswered ||
+                    mRequest->callerDisconnected || mRequest->expired;
+  if (over && !mTakeover->Accepted()) {
+    mTakeover->Abandon();
+  } else {
+    end.successor = co_await mTakeover->Take();
+  }
   co_return end;
 }
 
+void
+Sender::Close()
+{
+  mClosed = true;
+  if (mConnection) {
+    mConnection->Close();
+  }
+}
+
+/// Checks for silence after a time, repeatedly, until the send ends.
+void
+Sender::WatchForSilence(Duration aTime)
+{
+  if (!mRequest->route->stream || !mRequest->route->IsRetryable()) {
+    return;
+  }
+  mSilenceTimer.expires_after(aTime);
+  mSilenceTimer.async_wait([weak = weak_from_this()](const auto& aError) {
+    const auto self = weak.lock();
+    if (self && !aError && self->mRelaying) {
+      self->CheckForSilence();
+    }
+  });
+}
+
+void
+Sender::CheckForSilence()
+{
+  const Duration silence = Clock::now() - mSilentSince;
+  if (silence < kSilenceTimeout) {
+    WatchForSilence(kSilenceTimeout - silence);
+    return;
+  }
+  const bool search = silence >= kSearchTimeout;
+  WatchForSilence(search ? kSearchInterval : kSearchTimeout - silence);
+  // While a slow caller delays the relay, the silence is not the server's.
+  if (!mReading || !mRequest->MayRetry()) {
+    return;
+  }
+  if (!mSilent) {
+    mSilent = true;
+    telemetry::LogInfo("silent",
+                       { { "request", mRequest->call.id },
+                         { "server", mServer.id },
+                         { "silent_ms", silence },
+                         { "status", mStatus },
+                         { "age_ms", Clock::now() - mRequest->job.arrival } });
+    mParams.metrics->Count("silences_total", { { "server", mServer.id } });
+    mParams.dispatcher->RecordSilence(mJobId);
+  }
+  if (!search) {
+    return;
+  }
+  if (!mTakeover) {
+    mTakeover =
+      std::make_shared<Takeover>(mParams, mRequest, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) {
+          self->mConnection->Close();
+        }
+      });
+  }
+  mTakeover->Begin(mServer.id);
+}
+
 asio::awaitable<bool>
 Sender::Connect()
 {
@@ -122,7 +287,9 @@
                            retryable ? kMaxIdle : kMaxIdleNonRetryable);
   if (mConnection) {
     mReused = true;
-    mRequest->connection = mConnection;
+    if (mRelaying) {
+      mRequest->connection = mConnection;
+    }
     co_return true;
   }
   const bool connected = co_await OpenConnection();
@@ -134,7 +301,9 @@
 {
   mReused = false;
   mConnection = mParams.pool->Make(mRequest->executor, mServer.address);
-  mRequest->connection = mConnection;
+  if (mRelaying) {
+    mRequest->connection = mConnection;
+  }
   mParams.metrics->Count("connections_made_total");
   const Duration timeLeft = mRequest->TimeLeft(Clock::now());
   const bool connected =
@@ -142,29 +311,34 @@
   co_return connected;
 }
 
-asio::awaitable<SendEnd>
-Sender::Exchange()
+/// Sends the request. Returns false if no byte of it was written.
+asio::awaitable<bool>
+Sender::SendRequest()
 {
   mSentAt = Clock::now();
+  mSilentSince = mSentAt;
   SendOptions options;
   options.instance = mServer.id;
   options.team = mRequest->team != nullptr ? mRequest->team->name : "";
   options.timeLeft = mRequest->TimeLeft(mSentAt);
   options.lastEventId = mRequest->events.LastId();
   auto message = mParams.dialect->EncodeForServer(mRequest->call, options);
-  auto status =
+  const auto status =
     co_await mConnection->Send(std::move(message), StepTimeout(*mRequest));
-  if (status == http::CallStatus::kNotSent) {
-    co_return End(SendOutcome::kNotRun,
-                  policy::SendResult::kNotSent,
-                  "the connection was closed before the send");
-  }
-  mRequest->job.serversReached += 1;
-  AnswerHead head;
-  status = co_await ReadMatchingHead(head);
-  if (status != http::CallStatus::kDone) {
-    co_return EndLost(status);
+  const bool sent = status != http::CallStatus::kNotSent;
+  mRequest->job.serversReached += sent ? 1 : 0;
+  mRequest->runs += sent ? 1 : 0;
+  co_return sent;
+}
+
+/// Relays the answer whose head was read.
+asio::awaitable<SendEnd>
+Sender::Relay()
+{
+  if (mHeadStatus != http::CallStatus::kDone) {
+    co_return EndLost(*mHeadStatus);
   }
+  AnswerHead head = std::move(mHead);
   mStatus = head.status;
   if (head.notRun) {
     co_return co_await HandleNotRun(std::move(head));
@@ -192,7 +366,7 @@
   for (int i = 0; i < kMaxForeignAnswers; ++i) {
     http::Response response;
     auto status =
-      co_await mConnection->ReadHead(response, EventTimeout(*mRequest));
+      co_await mConnection->ReadHead(response, StepTimeout(*mRequest));
     if (status != http::CallStatus::kDone) {
       co_return status;
     }
@@ -216,6 +390,7 @@
 asio::awaitable<SendEnd>
 Sender::HandleNotRun(AnswerHead aHead)
 {
+  mRequest->runs -= 1;
   std::string body;
   const auto status = co_await mConnection->ReadRest(
     body, kMaxNotRunBytes, StepTimeout(*mRequest));
@@ -266,9 +441,11 @@
   auto& events = mRequest->events;
   std::string chunk;
   while (true) {
+    mReading = true;
     const auto status =
-      co_await mConnection->ReadSome(chunk, EventTimeout(*mRequest));
-    if (status != http::CallStatus::kDone) {
+      co_await mConnection->ReadSome(chunk, StepTimeout(*mRequest));
+    mReading = false;
+    if (status != http::CallStatus::kDone || TakenOver()) {
       co_return EndLost(status);
     }
     if (chunk.empty()) {
@@ -315,11 +492,16 @@
   const auto now = Clock::now();
   if (mFirstEventAt == TimePoint{}) {
     mFirstEventAt = now;
-    mParams.dispatcher->RecordFirstEvent(mRequest->job.id);
+    mParams.dispatcher->RecordFirstEvent(mJobId);
   } else {
     mLongestGap = std::max(mLongestGap, now - mLastEventAt);
   }
   mLastEventAt = now;
+  mSilentSince = now;
+  mSilent = false;
+  if (mTakeover) {
+    mTakeover->Abandon();
+  }
 }
 
 void
@@ -344,7 +526,14 @@
 SendEnd
 Sender::EndLost(http::CallStatus aStatus)
 {
-  mRequest->events.DiscardRemainder();
+  if (mRelaying) {
+    mRequest->events.DiscardRemainder();
+  }
+  if (TakenOver()) {
+    return End(SendOutcome::kLost,
+               policy::SendResult::kSilent,
+               "the server was silent; another one continues the stream");
+  }
   switch (aStatus) {
     case http::CallStatus::kClosedLocally:
       return End(SendOutcome::kLost,
--- a/src/node/dispatch_service.cpp
+++ b/src/node/dispatch_service.cpp
@@ -227,6 +227,13 @@
   ScheduleFlush();
 }
 
+void
+DispatchService::RecordSilence(policy::JobId aId)
+{
+  mClient.RecordSilence(aId, Clock::now());
+  ScheduleFlush();
+}
+
 void
 DispatchService::Finish(policy::JobId aId, const policy::SendReport& aReport)
 {
--- a/src/node/local_dispatcher.cpp
+++ b/src/node/local_dispatcher.cpp
@@ -75,6 +75,11 @@
 {
 }
 
+void
+LocalDispatcher::RecordSilence(policy::JobId)
+{
+}
+
 void
 LocalDispatcher::Finish(policy::JobId aId, const policy::SendReport&)
 {
--- a/src/node/local_dispatcher.h
+++ b/src/node/local_dispatcher.h
@@ -24,6 +24,7 @@
   void Submit(const policy::Job& aJob, OnDecision aOnDecision) override;
   void Withdraw(policy::JobId aId) override;
   void RecordFirstEvent(policy::JobId aId) override;
+  void RecordSilence(policy::JobId aId) override;
   void Finish(policy::JobId aId, const policy::SendReport& aReport) override;
 
 private:
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -164,6 +164,15 @@
   }
 }
 
+void
+Allocator::RecordSilence(const JobKey& aKey, TimePoint aNow)
+{
+  auto* service = FindServiceRunning(aKey);
+  if (service != nullptr) {
+    service->pool.RecordSilence(*service->pool.FindRunning(aKey), aNow);
+  }
+}
+
 Allocations
 Allocator::Finish(const JobKey& aKey, const SendReport& aReport, TimePoint aNow)
 {
--- a/src/policy/server_pool.cpp
+++ b/src/policy/server_pool.cpp
@@ -60,6 +60,9 @@
 /// The in-transit ratio is rounded to a multiple of 1 / kInTransitSteps.
 constexpr double kInTransitSteps = 8;
 
+/// How long a server counts as silent after a request has found it silent.
+constexpr Duration kSilenceLifetime = Seconds(1);
+
 /// Weight of the newest result in the failure rate of a kind.
 constexpr double kFailureSampleWeight = 0.05;
 
@@ -229,6 +232,7 @@
   if (result != SendResult::kWhole) {
     return;
   }
+  aRunning.server->silentUntil = TimePoint{};
   SpeedSample sample;
   sample.plain = !job.stream;
   sample.prefillTokens = aRunning.prefillTokens;
@@ -241,6 +245,15 @@
   UpdateMedianSpeed();
 }
 
+void
+ServerPool::RecordSilence(const RunningJob& aRunning, TimePoint aNow)
+{
+  aRunning.server->silentUntil = aNow + kSilenceLifetime;
+  SendReport report;
+  report.result = SendResult::kSilent;
+  Learn(aRunning, report, aNow);
+}
+
 void
 ServerPool::LearnOverhead(const RunningJob& aRunning,
                           const SendReport& aReport,
@@ -367,8 +380,10 @@
                        const std::string& aZone,
                        TimePoint aNow) const
 {
+  const bool continues = aJob.serversReached > 0;
   if (aServer.descriptor.leaving ||
-      Contains(aJob.excludedServers, aServer.descriptor.id)) {
+      Contains(aJob.excludedServers, aServer.descriptor.id) ||
+      (continues && aNow < aServer.silentUntil)) {
     return false;
   }
   return HealthSeenFrom(aServer, aZone, aNow) != HealthState::kDown;
--- a/tests/silence_process_test.cpp
+++ b/tests/silence_process_test.cpp
@@ -106,14 +106,19 @@
   }
 }
 
-// Guards against streams that are aborted when all servers pause at the same
-// time.
+// Guards against streams that are aborted, or moved to a server that is silent
+// as well, when all servers pause at the same time.
 TEST_F(Silence, StreamsContinueAfterAPauseOfAllServers)
 {
   StartWith(3);
   StartQuotes(9);
   FallSilentEverywhere(kSilence);
   ExpectCompleteQuotes();
+  for (auto& engine : mFleet.Engines()) {
+    for (const auto& run : engine->Runs()) {
+      EXPECT_FALSE(run.dropped) << run.target;
+    }
+  }
   EXPECT_EQ(mFleet.Call(0, Quote(10)).status, CallStatus::kDone);
 }
 
@@ -139,15 +144,10 @@
 TEST_F(Silence, AStreamContinuesIfTheOtherServerIsFull)
 {
   StartWith(2);
-  StartQuotes(2);
-  for (std::size_t i = 0; i < 2; ++i) {
-    if (At(i).Runs().empty()) {
-      At(i).SetFault(EngineFault::kFull);
-    } else {
-      At(i).FallSilent(kSilence);
-      At(i).SetFault(EngineFault::kFull);
-    }
-  }
+  StartQuotes(1);
+  const std::size_t busy = At(0).Runs().empty() ? 1 : 0;
+  At(1 - busy).SetFault(EngineFault::kFull);
+  At(busy).FallSilent(kSilence);
   ExpectCompleteQuotes();
 }
 
@@ -156,8 +156,7 @@
 TEST_F(Silence, AStreamContinuesIfTheOtherServerIsGone)
 {
   StartWith(2);
-  mPending.push_back(mFleet.StartCall(0, Quote(0)));
-  std::this_thread::sleep_for(Milliseconds(300));
+  StartQuotes(1);
   const std::size_t busy = At(0).Runs().empty() ? 1 : 0;
   At(busy).FallSilent(kSilence);
   At(1 - busy).Crash();
@@ -190,8 +189,7 @@
 TEST_F(Silence, AServerIsReleasedWhenAnotherContinuesItsStream)
 {
   StartWith(2);
-  mPending.push_back(mFleet.StartCall(0, Quote(0)));
-  std::this_thread::sleep_for(Milliseconds(300));
+  StartQuotes(1);
   const std::size_t silent = At(0).Runs().empty() ? 1 : 0;
   At(silent).FallSilent(kSilence);
   ExpectCompleteQuotes();
