Tell aborted streams from answered refusals in the log

The field `answer` now says which; `explain` shows it, and the new lines `silent` and `no-takeover`. Unit tests cover what the scheduler does with reports of silence: no request moves to a server that is silent itself, no new requests after two reports, and the running request keeps its slot.

--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -104,6 +104,9 @@
   }
   text += ", configuration " + aRecord.Field("config") + ", after " +
           aRecord.Field("age_ms") + " ms";
+  if (aRecord.Field("answer") == "aborted") {
+    text += "; the answer had begun and was aborted";
+  }
   if (aRecord.Field("retry_after_ms") != "0") {
     text += "; retry after " + aRecord.Field("retry_after_ms") + " ms";
   }
@@ -132,6 +135,14 @@
   if (aRecord.event == "refuse") {
     return DescribeRefusal(aRecord);
   }
+  if (aRecord.event == "silent") {
+    return "server " + aRecord.Field("server") + " has sent nothing for " +
+           aRecord.Field("silent_ms") + " ms";
+  }
+  if (aRecord.event == "no-takeover") {
+    return "no other server can continue the stream: " +
+           aRecord.Field("reason") + " (" + aRecord.Field("detail") + ")";
+  }
   if (aRecord.event == "caller-left") {
     return "the caller disconnected after " + aRecord.Field("age_ms") + " ms";
   }
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -29,6 +29,16 @@
                                         : "";
 }
 
+/// Returns what the caller of a refused request gets, for the log.
+const char*
+AnswerOf(const Request& aRequest)
+{
+  if (aRequest.callerDisconnected) {
+    return "none";
+  }
+  return aRequest.writer ? "aborted" : "complete";
+}
+
 } // namespace
 
 struct Forwarder::Core
@@ -303,6 +313,7 @@
       { "reason", Name(aRefusal.kind) },
       { "detail", aRefusal.message },
       { "config", aRequest.table ? aRequest.table->version : 0 },
+      { "answer", AnswerOf(aRequest) },
       { "age_ms", arrived ? Clock::now() - job.arrival : Duration() },
       { "retry_after_ms", aRefusal.retryAfter.value_or(Duration()) } });
 }
--- a/src/policy/allocator_load_test.cpp
+++ b/src/policy/allocator_load_test.cpp
@@ -286,5 +286,79 @@
   EXPECT_FALSE(allocations[0].send);
 }
 
+/// An allocator with two servers, the first of which runs one request.
+class SilentServer : public ::testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    routing::Roster roster;
+    for (const char* id : { "a", "b" }) {
+      routing::Server server;
+      server.id = id;
+      server.service = "s";
+      server.zone = "z";
+      server.slots = 4;
+      roster.emplace(id, server);
+    }
+    mAllocator.SetServers(roster, mNow);
+    const auto allocation = SubmitJob({ "b" }, 0);
+    ASSERT_TRUE(allocation.send);
+    ASSERT_EQ(allocation.server, "a");
+    mRunning = allocation.key;
+  }
+
+  Allocation SubmitJob(std::vector<std::string> aExcluded, int aServersReached)
+  {
+    Job job;
+    job.id = ++mLastId;
+    job.service = "s";
+    job.fingerprint = job.id;
+    job.stream = true;
+    job.arrival = mNow;
+    job.target = Seconds(1);
+    job.deadline = mNow + Seconds(5);
+    job.excludedServers = std::move(aExcluded);
+    job.serversReached = aServersReached;
+    auto allocations = mAllocator.Submit({ 1, job.id }, job, "z", mNow);
+    return allocations.empty() ? Allocation() : allocations.front();
+  }
+
+  Allocator mAllocator;
+  JobId mLastId = 0;
+  TimePoint mNow{ Seconds(1000) };
+  JobKey mRunning;
+};
+
+// Guards against a request that moves from one silent server to another.
+TEST_F(SilentServer, ContinuesNoRequestOfAnotherServer)
+{
+  mAllocator.RecordSilence(mRunning, mNow);
+  EXPECT_FALSE(SubmitJob({ "b" }, 1).send);
+  EXPECT_TRUE(SubmitJob({ "b" }, 0).send);
+}
+
+// Guards against a server that loses its slots although it keeps its requests.
+TEST_F(SilentServer, KeepsItsRequest)
+{
+  mAllocator.RecordSilence(mRunning, mNow);
+  SendReport whole;
+  whole.result = SendResult::kWhole;
+  mAllocator.Finish(mRunning, whole, mNow + Seconds(1));
+  EXPECT_TRUE(SubmitJob({ "b" }, 1).send);
+}
+
+// Guards against new requests that are sent to a server at which several
+// requests wait for an event.
+TEST_F(SilentServer, GetsNoNewRequestsAfterTwoReports)
+{
+  const auto second = SubmitJob({ "b" }, 0);
+  mAllocator.RecordSilence(mRunning, mNow);
+  mAllocator.RecordSilence(second.key, mNow);
+  const auto next = SubmitJob({}, 0);
+  ASSERT_TRUE(next.send);
+  EXPECT_EQ(next.server, "b");
+}
+
 } // namespace
 } // namespace magnoliatide::policy
