Do not blame a server for a caller that left

When a caller left after its request had been assigned to a server and before it was sent, the send was reported as not-sent. The scheduler takes that for a server that cannot be reached and marks it as down at once, without a single byte having been sent. Callers that leave in numbers could so take sound servers out of use, and retries of streams found no usable server.

The send is now reported as cancelled, which says nothing about the server; the same holds for a takeover that is abandoned before its send.

--- a/src/forward/event_writer_test.cpp
+++ b/src/forward/event_writer_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the batching of events, and of Settle() while a write is scheduled.
 #include "event_writer.h"
+#include "testing/fake_exchange.h"
 
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
@@ -11,44 +12,10 @@
 namespace {
 
 namespace asio = boost::asio;
+using testing::FakeExchange;
 
 constexpr Duration kDelay = Milliseconds(20);
 
-/// Records the writes, and counts those after the exchange has ended.
-class FakeExchange : public http::Exchange
-{
-public:
-  const http::Request& Incoming() const override { return mRequest; }
-
-  asio::awaitable<void> Respond(http::Response) override { co_return; }
-
-  asio::awaitable<bool> BeginStream(http::Response) override { co_return true; }
-
-  asio::awaitable<bool> WriteChunk(std::string aChunk) override
-  {
-    lateWrites += ended ? 1 : 0;
-    text += aChunk;
-    writes += 1;
-    co_return true;
-  }
-
-  asio::awaitable<void> EndStream() override { co_return; }
-
-  void Abort() override {}
-
-  void OnCallerDisconnect(std::function<void()>) override {}
-
-  bool CallerDisconnected() const override { return false; }
-
-  std::string text;
-  int writes = 0;
-  int lateWrites = 0;
-  bool ended = false; ///< The exchange may be destroyed from then on.
-
-private:
-  http::Request mRequest;
-};
-
 struct EventWriterTest : public ::testing::Test
 {
   void Spawn(asio::awaitable<void> aCoroutine)
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -102,7 +102,7 @@
           { "age_ms", Clock::now() - aRequest->job.arrival } });
       if (decision.send) {
         policy::SendReport report;
-        report.result = policy::SendResult::kNotSent;
+        report.result = policy::SendResult::kCancelled;
         params.dispatcher->Finish(aRequest->job.id, report);
       }
       break;
--- a/src/forward/takeover.cpp
+++ b/src/forward/takeover.cpp
@@ -78,7 +78,7 @@
   const auto self = shared_from_this();
   if (mState == State::kAbandoning) {
     policy::SendReport report;
-    report.result = policy::SendResult::kNotSent;
+    report.result = policy::SendResult::kCancelled;
     mParams.dispatcher->Finish(mJobId, report);
     mState = State::kIdle;
     mChanged.cancel();
