--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -234,7 +234,9 @@
     if (fault == EngineFault::kFull ||
         mRunning >= mOptions.slots + mOptions.queue) {
       co_return co_await Write(
-        aSocket, MakeResponse(503, "", "Not-Executed: 1\r\n", false));
+        aSocket,
+        MakeResponse(
+          503, mOptions.rejectionBody, "Not-Executed: 1\r\n", false));
     }
     co_return co_await Run(aSocket, aBuffer, aParser, fault);
   }
@@ -341,6 +343,7 @@
                      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                      "Transfer-Encoding: chunked\r\n" +
                        aHeaders + "\r\n");
+    co_await Sleep(mOptions.firstEventDelay);
     const int after = static_cast<int>(ParseNumber(aRun.lastEventId));
     for (int i = after + 1; open && i <= mOptions.events; ++i) {
       const auto event = Event(aRun.target, i);
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -22,10 +22,12 @@
   std::string service = "language";
   std::string zone = "kariakoo";
   int slots = 4;
-  int queue = 4;      ///< Requests accepted beyond the slots.
-  bool stream = true; ///< Answers with events instead of one body.
-  int events = 10;    ///< Number of events of a stream.
+  int queue = 4;             ///< Requests accepted beyond the slots.
+  bool stream = true;        ///< Answers with events instead of one body.
+  std::string rejectionBody; ///< Of the 503 answers of a full engine.
+  int events = 10;           ///< Number of events of a stream.
   Duration firstByteDelay = Milliseconds(20);
+  Duration firstEventDelay{}; ///< Between the head and the first event.
   Duration eventInterval = Milliseconds(5);
 };
 
