Take back a silence once the server continues, and unused retries

Streams were aborted when their server crashed, because the scheduler had no server left for them:

- A server that had paused stayed out of use for streams that move, for a second after the report, and as down until a complete answer or a probe, although it was sending events.
A silence is now counted apart and taken back by the next event of that server, also for the reachability of its zone.
- Searches for another server took retries from the service's budget although nothing was sent: six silent streams used it up.
A retry is returned if the request is rejected, withdrawn or ends unsent.

--- a/include/magnoliatide/fleet/dispatch_coordinator.h
+++ b/include/magnoliatide/fleet/dispatch_coordinator.h
@@ -104,12 +104,15 @@
     TimePoint at;
     std::string team; ///< The team whose quota was charged.
     double units = 0; ///< Charged units; zero: none, or refunded.
+    /// Service whose retry budget was charged; empty: none, or refunded.
+    std::string retriedService;
   };
 
   bool CheckBudgets(std::uint64_t aVm, policy::Job& aJob, TimePoint aNow);
   void RefundQuota(const policy::JobKey& aKey,
                    wire::DispatchReply& aReply,
                    TimePoint aNow);
+  void RefundRetry(const policy::JobKey& aKey);
   void EnqueueReply(std::uint64_t aVm,
                     wire::DispatchReply aReply,
                     TimePoint aNow);
--- a/include/magnoliatide/policy/allocator.h
+++ b/include/magnoliatide/policy/allocator.h
@@ -85,6 +85,9 @@
   /// request keeps its slot.
   void RecordSilence(const JobKey& aKey, TimePoint aNow);
 
+  /// Records that the server of a sent request has sent an event.
+  void RecordSilenceEnd(const JobKey& aKey, TimePoint aNow);
+
   /// Records the result of a running request and dispatches queued ones.
   Allocations Finish(const JobKey& aKey,
                      const SendReport& aReport,
--- a/include/magnoliatide/policy/retry_budget.h
+++ b/include/magnoliatide/policy/retry_budget.h
@@ -42,6 +42,9 @@
   /// Takes one retry from the budget. Returns whether one was available.
   bool Take(const std::string& aService, TimePoint aNow);
 
+  /// Returns a retry that was taken and not sent.
+  void Refund(const std::string& aService);
+
   /// Replaces the requests and retries that budgets at other VMs counted for a
   /// VM in its last window.
   void SetRemoteUsage(const std::string& aService,
--- a/include/magnoliatide/policy/server_health.h
+++ b/include/magnoliatide/policy/server_health.h
@@ -28,6 +28,15 @@
   ///     all servers of the service.
   void Record(SendResult aResult, double aExpectedFailureRate, TimePoint aNow);
 
+  /// Records that the server has been silent for a while during a request that
+  /// has not ended. Counts like a request without an answer until the server
+  /// sends an event.
+  void RecordSilence(double aExpectedFailureRate, TimePoint aNow);
+
+  /// Records that the server has sent an event. Takes back what silences have
+  /// changed.
+  void RecordSilenceEnd();
+
   /// Records that a probe was sent.
   void RecordProbe(TimePoint aNow);
 
@@ -41,6 +50,8 @@
   void MarkDown(TimePoint aNow);
 
   int mTransportFailures = 0; ///< Since the last successful request.
+  int mSilences = 0; ///< Those of mTransportFailures that were silences.
+  bool mDownBySilence = false; ///< A silence marked the server as down.
   double mFailureRate = 0;
   bool mDown = false;     ///< Set until a probe succeeds.
   TimePoint mProbeAt{};   ///< When the next probe is allowed.
--- a/include/magnoliatide/policy/server_pool.h
+++ b/include/magnoliatide/policy/server_pool.h
@@ -60,9 +60,6 @@
   /// Prompt tokens of running requests without a first event.
   double pendingPrefillTokens = 0;
   std::map<std::string, ServerHealth> healthByZone; ///< By caller zone.
-  /// Until then, because a request found it silent, it does not continue
-  /// requests of other servers.
-  TimePoint silentUntil{};
   bool inOpenList = false; ///< Whether mOpenServers contains it.
 };
 
@@ -129,6 +126,9 @@
   /// Records that the server of a running request has been silent for a while.
   void RecordSilence(const RunningJob& aRunning, TimePoint aNow);
 
+  /// Records that the server has sent an event, which ends its silence.
+  void RecordSilenceEnd(const RunningJob& aRunning, TimePoint aNow);
+
   /// Updates the dispatch overhead from a completed request. The overhead is
   /// the time in which a request counts as running although its server does not
   /// process it. It is caused by the network and by processing on VMs.
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -164,7 +164,10 @@
   mLastReports.try_emplace(aVm, aNow);
   wire::DispatchReply wait;
   wait.number = aRequest.number;
-  mLastReplies[key] = { wait, aNow, job.team, job.quotaUnits };
+  mLastReplies[key] = { wait, aNow, job.team, job.quotaUnits, "" };
+  if (job.serversReached > 0) {
+    mLastReplies[key].retriedService = job.service;
+  }
   ApplyAllocations(mAllocator.Submit(key, job, aZone, aNow), aNow);
   const auto& current = mLastReplies[key].reply;
   if (current.decision == wire::DispatchDecision::kWait) {
@@ -237,6 +240,17 @@
   }
 }
 
+/// Refunds the retry charged for a request that is not sent.
+void
+DispatchCoordinator::RefundRetry(const policy::JobKey& aKey)
+{
+  const auto record = mLastReplies.find(aKey);
+  if (record != mLastReplies.end() && !record->second.retriedService.empty()) {
+    mRetries.Refund(record->second.retriedService);
+    record->second.retriedService.clear();
+  }
+}
+
 void
 DispatchCoordinator::EnqueueReply(std::uint64_t aVm,
                                   wire::DispatchReply aReply,
@@ -256,6 +270,7 @@
     auto reply = ToReply(allocation);
     if (!allocation.send) {
       RefundQuota(allocation.key, reply, aNow);
+      RefundRetry(allocation.key);
     }
     EnqueueReply(allocation.key.vm, std::move(reply), aNow);
   }
@@ -269,6 +284,7 @@
   if (mAllocator.Withdraw(key)) {
     wire::DispatchReply unused;
     RefundQuota(key, unused, TimePoint{});
+    RefundRetry(key);
   }
   mLastReplies.erase(key);
 }
@@ -287,6 +303,7 @@
   }
   if (!aProgress.ended) {
     mAllocator.RecordFirstEvent(key);
+    mAllocator.RecordSilenceEnd(key, aNow);
     return;
   }
   constexpr auto kLastResult =
@@ -298,6 +315,10 @@
   report.laterTokens = aProgress.laterTokens;
   report.toFirstEvent = std::chrono::microseconds(aProgress.firstEventMicros);
   report.toEnd = std::chrono::microseconds(aProgress.totalMicros);
+  if (aProgress.totalMicros == 0) {
+    // The request was not sent.
+    RefundRetry(key);
+  }
   // The request may still wait here if its VM turned to another coordinator.
   mAllocator.Withdraw(key);
   ApplyAllocations(mAllocator.Finish(key, report, aNow), aNow);
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -173,6 +173,15 @@
   }
 }
 
+void
+Allocator::RecordSilenceEnd(const JobKey& aKey, TimePoint aNow)
+{
+  auto* service = FindServiceRunning(aKey);
+  if (service != nullptr) {
+    service->pool.RecordSilenceEnd(*service->pool.FindRunning(aKey), aNow);
+  }
+}
+
 Allocations
 Allocator::Finish(const JobKey& aKey, const SendReport& aReport, TimePoint aNow)
 {
--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -57,6 +57,15 @@
   return true;
 }
 
+void
+RetryBudget::Refund(const std::string& aService)
+{
+  auto& retries = mServices[aService].retries;
+  if (!retries.empty()) {
+    retries.pop_back();
+  }
+}
+
 void
 RetryBudget::SetRemoteUsage(const std::string& aService,
                             std::uint64_t aVm,
--- a/src/policy/server_health.cpp
+++ b/src/policy/server_health.cpp
@@ -47,6 +47,8 @@
   mFailureRate += kFailureSampleWeight * ((failed ? 1.0 : 0.0) - mFailureRate);
   if (!failed) {
     mTransportFailures = 0;
+    mSilences = 0;
+    mDownBySilence = false;
     if (mDown) {
       mDown = false;
       mProbeDelay = Duration::zero();
@@ -69,6 +71,28 @@
   }
 }
 
+void
+ServerHealth::RecordSilence(double aExpectedFailureRate, TimePoint aNow)
+{
+  const bool wasDown = mDown;
+  Record(SendResult::kSilent, aExpectedFailureRate, aNow);
+  mSilences += 1;
+  mDownBySilence = mDownBySilence || (mDown && !wasDown);
+}
+
+void
+ServerHealth::RecordSilenceEnd()
+{
+  mTransportFailures -= std::min(mSilences, mTransportFailures);
+  mSilences = 0;
+  if (mDownBySilence) {
+    mDownBySilence = false;
+    mDown = false;
+    mProbeDelay = Duration::zero();
+    mFailureRate = 0;
+  }
+}
+
 void
 ServerHealth::MarkDown(TimePoint aNow)
 {
--- a/src/policy/server_pool.cpp
+++ b/src/policy/server_pool.cpp
@@ -60,9 +60,6 @@
 /// The in-transit ratio is rounded to a multiple of 1 / kInTransitSteps.
 constexpr double kInTransitSteps = 8;
 
-/// How long a server counts as silent after a request has found it silent.
-constexpr Duration kSilenceLifetime = Seconds(1);
-
 /// Weight of the newest result in the failure rate of a kind.
 constexpr double kFailureSampleWeight = 0.05;
 
@@ -232,7 +229,6 @@
   if (result != SendResult::kWhole) {
     return;
   }
-  aRunning.server->silentUntil = TimePoint{};
   SpeedSample sample;
   sample.plain = !job.stream;
   sample.prefillTokens = aRunning.prefillTokens;
@@ -248,10 +244,25 @@
 void
 ServerPool::RecordSilence(const RunningJob& aRunning, TimePoint aNow)
 {
-  aRunning.server->silentUntil = aNow + kSilenceLifetime;
-  SendReport report;
-  report.result = SendResult::kSilent;
-  Learn(aRunning, report, aNow);
+  aRunning.server->healthByZone[aRunning.zone].RecordSilence(
+    mFailureRates[aRunning.job.kind], aNow);
+  UpdateReachability(aRunning, SendResult::kSilent, aNow);
+}
+
+void
+ServerPool::RecordSilenceEnd(const RunningJob& aRunning, TimePoint aNow)
+{
+  const auto& server = *aRunning.server;
+  aRunning.server->healthByZone[aRunning.zone].RecordSilenceEnd();
+  const auto fromZone = mReachability.find(aRunning.zone);
+  if (fromZone == mReachability.end()) {
+    return;
+  }
+  const auto found = fromZone->second.find(server.descriptor.zone);
+  if (found != fromZone->second.end() &&
+      found->second.unanswered.erase(server.descriptor.id) > 0) {
+    found->second.health.Record(SendResult::kWhole, 0, aNow);
+  }
 }
 
 void
@@ -380,10 +391,8 @@
                        const std::string& aZone,
                        TimePoint aNow) const
 {
-  const bool continues = aJob.serversReached > 0;
   if (aServer.descriptor.leaving ||
-      Contains(aJob.excludedServers, aServer.descriptor.id) ||
-      (continues && aNow < aServer.silentUntil)) {
+      Contains(aJob.excludedServers, aServer.descriptor.id)) {
     return false;
   }
   return HealthSeenFrom(aServer, aZone, aNow) != HealthState::kDown;
