Accept a takeover only from a server that shows a sign of life

- A server that said nothing counted as having accepted after 0.2 s, so a stream moved from a short silence to a long one.
The server must now answer a status request first, which needs no slot; then either the head of its answer or 0.2 s without a rejection accepts the takeover.
- A server that had accepted by that rule was not watched for silence.
- A takeover could be sent as a probe of a server that may be down.
- A server whose takeover was abandoned or rejected stayed excluded; the next search now leaves it out, and the one after it may choose it again.
- The end of the overlap could overrule a rejection that was handled in the same turn of the event loop.
- A takeover closed its predecessor's connection after that had been returned to the pool, which cut the answer of another request.
- The silence was counted from the send although the head had arrived since, and from before a slow caller had delayed the relay.
- An answer that was complete at the moment of the takeover could be written after the successor's.
- A stream that moves waits for a slot as long as a caller waits for an event, counted from then on instead of from its arrival.
- One stream's takeover counted as two failures of its server.

--- a/include/magnoliatide/backend/pool.h
+++ b/include/magnoliatide/backend/pool.h
@@ -61,6 +61,12 @@
   /// Sends GET /health to a backend server on a separate connection.
   boost::asio::awaitable<Health> Check(document::Endpoint aServer);
 
+  /// Sends a request to a backend server on a separate connection. Returns
+  /// whether it is answered.
+  boost::asio::awaitable<bool> Answers(document::Endpoint aServer,
+                                       http::Request aRequest,
+                                       Duration aTimeout);
+
   /// Returns a connection to the pool, which keeps it only if its last answer
   /// was complete.
   void Release(const boost::asio::any_io_executor& aExecutor,
--- a/include/magnoliatide/fleet/dispatch_client.h
+++ b/include/magnoliatide/fleet/dispatch_client.h
@@ -86,7 +86,10 @@
   void RecordFirstEvent(policy::JobId aJob, TimePoint aNow);
 
   /// Reports that the server of a dispatched request is silent.
-  void RecordSilence(policy::JobId aJob, TimePoint aNow);
+  void RecordSilence(policy::JobId aJob);
+
+  /// Reports that the server has sent an event after a reported silence.
+  void RecordSilenceEnd(policy::JobId aJob);
 
   /// Reports the end of a dispatched request.
   void Finish(policy::JobId aJob,
@@ -152,6 +155,7 @@
 
   void SendRequest(PendingRequest& aPending, TimePoint aNow);
   void Enqueue(std::uint64_t aTo, decltype(DispatchMessage::body) aBody);
+  void EnqueueActivity(policy::JobId aJob, policy::SendResult aActivity);
   std::uint64_t ChooseCoordinator(TimePoint aNow) const;
   const CoordinatorCandidate* FindCandidate(std::uint64_t aProcess) const;
   void TakeLocalReplies(TimePoint aNow);
--- a/include/magnoliatide/forward/call.h
+++ b/include/magnoliatide/forward/call.h
@@ -113,6 +113,9 @@
   virtual http::Request EncodeForServer(const Call& aCall,
                                         const SendOptions& aSend) const = 0;
 
+  /// Returns a request that a server answers at once, without using a slot.
+  virtual http::Request EncodeStatusRequest() const = 0;
+
   /// Decodes the head of a server's answer.
   virtual AnswerHead DecodeHead(const http::Response& aHead) const = 0;
 
--- a/include/magnoliatide/forward/dispatcher.h
+++ b/include/magnoliatide/forward/dispatcher.h
@@ -45,6 +45,9 @@
   /// send goes on.
   virtual void RecordSilence(policy::JobId aId) = 0;
 
+  /// Records that the server has continued after a recorded silence.
+  virtual void RecordSilenceEnd(policy::JobId aId) = 0;
+
   /// Records how a send ended.
   virtual void Finish(policy::JobId aId, const policy::SendReport& aReport) = 0;
 };
--- a/src/backend/pool.cpp
+++ b/src/backend/pool.cpp
@@ -132,6 +132,18 @@
   co_return health;
 }
 
+asio::awaitable<bool>
+Pool::Answers(document::Endpoint aServer,
+              http::Request aRequest,
+              Duration aTimeout)
+{
+  const auto result = co_await http::Call(aServer,
+                                          std::move(aRequest),
+                                          aTimeout,
+                                          mStore->options.connection.localHost);
+  co_return result.status == http::CallStatus::kDone;
+}
+
 void
 Pool::Release(const asio::any_io_executor& aExecutor,
               const document::Endpoint& aServer,
--- a/src/fleet/dispatch_client.cpp
+++ b/src/fleet/dispatch_client.cpp
@@ -173,22 +173,31 @@
 }
 
 void
-DispatchClient::RecordSilence(policy::JobId aJob, TimePoint aNow)
+DispatchClient::RecordSilence(policy::JobId aJob)
+{
+  EnqueueActivity(aJob, policy::SendResult::kSilent);
+}
+
+void
+DispatchClient::RecordSilenceEnd(policy::JobId aJob)
+{
+  EnqueueActivity(aJob, policy::SendResult::kWhole);
+}
+
+/// Reports to the coordinator whether the server of a running request is silent
+/// (kSilent) or has sent an event (kWhole).
+void
+DispatchClient::EnqueueActivity(policy::JobId aJob,
+                                policy::SendResult aActivity)
 {
   const auto found = mDispatched.find(aJob);
   if (found == mDispatched.end()) {
     return;
   }
-  const auto& sent = found->second;
   wire::DispatchProgress progress;
-  progress.number = sent.number;
-  progress.result = static_cast<std::uint8_t>(policy::SendResult::kSilent);
-  Enqueue(sent.coordinator, progress);
-  if (sent.coordinator != mOptions.self) {
-    policy::SendReport report;
-    report.result = policy::SendResult::kSilent;
-    mLocal.Learn(sent.job, mOptions.zone, sent.server, report, aNow);
-  }
+  progress.number = found->second.number;
+  progress.result = static_cast<std::uint8_t>(aActivity);
+  Enqueue(found->second.coordinator, progress);
 }
 
 void
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -149,6 +149,10 @@
   SendEnd end = co_await sender->Run();
   while (true) {
     RecordSendEnd(params, *aRequest, sender->Server().id, end);
+    if (end.successor) {
+      // The silence was reported when it began.
+      end.report.result = policy::SendResult::kCancelled;
+    }
     params.dispatcher->Finish(sender->JobId(), end.report);
     if (end.outcome != SendOutcome::kAnswered) {
       aRequest->job.excludedServers.push_back(sender->Server().id);
@@ -194,8 +198,13 @@
   if (aRequest->expired) {
     Cancel(*aRequest);
   } else {
-    aRequest->job.retryAllowed = aRequest->MayRetry(1);
-    params.dispatcher->Submit(aRequest->job, std::move(onDecision));
+    auto job = aRequest->job;
+    job.retryAllowed = aRequest->MayRetry(1);
+    if (job.resumes) {
+      // The time that a stream may wait for a slot begins when it is cut.
+      job.arrival = Clock::now();
+    }
+    params.dispatcher->Submit(job, std::move(onDecision));
   }
   auto [error, decision] = co_await aRequest->mailbox.async_receive(kNoThrow);
   static_cast<void>(error);
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -24,6 +24,7 @@
   void Withdraw(policy::JobId) override { pending = nullptr; }
   void RecordFirstEvent(policy::JobId) override {}
   void RecordSilence(policy::JobId) override {}
+  void RecordSilenceEnd(policy::JobId) override {}
 
   void Finish(policy::JobId, const policy::SendReport& aReport) override
   {
@@ -53,6 +54,8 @@
     return aCall.request;
   }
 
+  http::Request EncodeStatusRequest() const override { return {}; }
+
   AnswerHead DecodeHead(const http::Response&) const override { return {}; }
 
   http::Response EncodeRefusal(const std::string&,
--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -17,13 +17,9 @@
 /// faster than waiting.
 constexpr Duration kConnectTimeout = Milliseconds(200);
 
-/// Silence of a resumable stream after which it is reported to the scheduler.
-constexpr Duration kSilenceTimeout = Milliseconds(800);
-
-/// Silence after which another server is looked for. Callers disconnect after
-/// two seconds or more. The time since the report lets those of other streams
-/// arrive, so that a stream does not move to a server that is silent as well.
-constexpr Duration kSearchTimeout = Milliseconds(900);
+/// Silence of a resumable stream after which another server is looked for.
+/// Callers disconnect after two seconds or more.
+constexpr Duration kSilenceTimeout = Milliseconds(900);
 
 /// Interval between searches for another server during a silence.
 constexpr Duration kSearchInterval = Milliseconds(300);
@@ -112,7 +108,7 @@
       "the server stopped accepting requests while the VM connected");
   }
   bool sent = co_await SendRequest();
-  if (!sent && mReused) {
+  if (!sent && mReused && !mClosed) {
     // The server had closed the reused connection, but may accept a new one.
     const bool reconnected = co_await OpenConnection();
     if (reconnected) {
@@ -121,7 +117,8 @@
   }
   if (!sent) {
     co_return End(SendOutcome::kNotRun,
-                  policy::SendResult::kNotSent,
+                  mClosed ? policy::SendResult::kCancelled
+                          : policy::SendResult::kNotSent,
                   "the connection was closed before the send");
   }
   co_return std::nullopt;
@@ -136,6 +133,7 @@
   mReading = false;
   mHead = std::move(head);
   mHeadStatus = status;
+  mSilentSince = Clock::now();
   mHeadRead.cancel();
 }
 
@@ -176,11 +174,11 @@
   if (mRequest->callerDisconnected || mRequest->expired) {
     mConnection->Close();
   }
+  WatchForSilence(kSilenceTimeout);
   while (!mHeadStatus) {
     mHeadRead.expires_at(asio::steady_timer::time_point::max());
     co_await mHeadRead.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  WatchForSilence(kSilenceTimeout);
   SendEnd end = co_await RelayWatched();
   co_return end;
 }
@@ -191,6 +189,12 @@
 Sender::RelayWatched()
 {
   SendEnd end = co_await Relay();
+  if (TakenOver()) {
+    // An answer that was complete at the same moment is not used.
+    mRequest->answer.reset();
+    mRequest->serverError.reset();
+    end = EndLost(http::CallStatus::kSilent);
+  }
   mRelaying = false;
   mSilenceTimer.cancel();
   mRequest->connection.reset();
@@ -235,15 +239,18 @@
 void
 Sender::CheckForSilence()
 {
-  const Duration silence = Clock::now() - mSilentSince;
+  const auto now = Clock::now();
+  if (!mReading) {
+    // A slow caller delays the relay, so the silence is not the server's.
+    mSilentSince = now;
+  }
+  const Duration silence = now - mSilentSince;
   if (silence < kSilenceTimeout) {
     WatchForSilence(kSilenceTimeout - silence);
     return;
   }
-  const bool search = silence >= kSearchTimeout;
-  WatchForSilence(search ? kSearchInterval : kSearchTimeout - silence);
-  // While a slow caller delays the relay, the silence is not the server's.
-  if (!mReading || !mRequest->MayRetry()) {
+  WatchForSilence(kSearchInterval);
+  if (!mRequest->MayRetry()) {
     return;
   }
   if (!mSilent) {
@@ -257,14 +264,11 @@
     mParams.metrics->Count("silences_total", { { "server", mServer.id } });
     mParams.dispatcher->RecordSilence(mJobId);
   }
-  if (!search) {
-    return;
-  }
   if (!mTakeover) {
     mTakeover =
       std::make_shared<Takeover>(mParams, mRequest, [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (self) {
+        if (self && self->mConnection) {
           self->mConnection->Close();
         }
       });
@@ -498,7 +502,10 @@
   }
   mLastEventAt = now;
   mSilentSince = now;
-  mSilent = false;
+  if (mSilent) {
+    mSilent = false;
+    mParams.dispatcher->RecordSilenceEnd(mJobId);
+  }
   if (mTakeover) {
     mTakeover->Abandon();
   }
@@ -512,7 +519,7 @@
   if (keepAlive > kIdleMargin) {
     mParams.pool->Release(mRequest->executor,
                           mServer.address,
-                          mConnection,
+                          std::move(mConnection),
                           keepAlive - kIdleMargin);
   }
 }
--- a/src/forward/takeover.cpp
+++ b/src/forward/takeover.cpp
@@ -6,6 +6,8 @@
 
 #include "magnoliatide/telemetry/log.h"
 
+#include <utility>
+
 namespace magnoliatide::forward {
 
 namespace asio = boost::asio;
@@ -14,11 +16,19 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
-/// A server that does not reject a request within this time has accepted it:
-/// rejections need no slot and come at once. Bounds the time for which two
+/// How long a server may take for a sign of life before a request is sent to
+/// it.
+constexpr Duration kStatusTimeout = Milliseconds(150);
+
+/// A live server that does not reject a request within this time has accepted
+/// it: rejections need no slot and come at once. Bounds the time for which two
 /// servers may work on one request.
 constexpr Duration kMaxOverlap = Milliseconds(200);
 
+/// Time for a rejection that has arrived together with the end of the overlap,
+/// after a delay of this VM.
+constexpr Duration kOverlapGrace = Milliseconds(20);
+
 } // namespace
 
 Takeover::Takeover(const ForwarderParams& aParams,
@@ -42,8 +52,14 @@
   job.id = mRequest->newJobId();
   job.quotaUnits = 0;
   job.excludedServers.push_back(aSilentServer);
+  if (!mAvoidedServer.empty()) {
+    job.excludedServers.push_back(std::exchange(mAvoidedServer, {}));
+  }
   job.resumes = mRequest->writer != nullptr;
-  job.retryAllowed = mRequest->MayRetry(1);
+  // The time that it may wait for a slot begins now.
+  job.arrival = Clock::now();
+  // A takeover must not probe a server that may be down.
+  job.retryAllowed = false;
   mJobId = job.id;
   mState = State::kWaiting;
   mParams.dispatcher->Submit(
@@ -55,73 +71,119 @@
     });
 }
 
+void
+Takeover::LogNoTakeover(const std::string& aReason,
+                        const std::string& aDetail,
+                        const std::string& aDecidedBy) const
+{
+  telemetry::LogInfo("no-takeover",
+                     { { "request", mRequest->call.id },
+                       { "reason", aReason },
+                       { "detail", aDetail },
+                       { "by", aDecidedBy } });
+}
+
 void
 Takeover::HandleDecision(Decision aDecision)
 {
   if (!aDecision.send) {
-    telemetry::LogInfo("no-takeover",
-                       { { "request", mRequest->call.id },
-                         { "reason", Name(aDecision.refusal.kind) },
-                         { "detail", aDecision.refusal.message },
-                         { "by", aDecision.by } });
+    LogNoTakeover(
+      Name(aDecision.refusal.kind), aDecision.refusal.message, aDecision.by);
     mState = State::kIdle;
     return;
   }
   mState = State::kSending;
-  asio::co_spawn(
-    mRequest->executor, Send(std::move(aDecision)), asio::detached);
+  mDecision = std::move(aDecision);
+  asio::co_spawn(mRequest->executor, Run(), asio::detached);
 }
 
+/// Sends the request to a server, unless that server gives no sign of life.
 asio::awaitable<void>
-Takeover::Send(Decision aDecision)
+Takeover::Run()
 {
   const auto self = shared_from_this();
-  if (mState == State::kAbandoning) {
-    policy::SendReport report;
-    report.result = policy::SendResult::kCancelled;
-    mParams.dispatcher->Finish(mJobId, report);
-    mState = State::kIdle;
-    mChanged.cancel();
+  SendEnd end = co_await Send();
+  if (mState == State::kAccepted) {
     co_return;
   }
-  LogSend(mParams, *mRequest, aDecision);
+  mParams.dispatcher->Finish(mJobId, end.report);
+  mAvoidedServer = mDecision.server.id;
+  if (end.outcome == SendOutcome::kLost &&
+      end.report.result != policy::SendResult::kCancelled) {
+    mRequest->job.excludedServers.push_back(mDecision.server.id);
+  }
+  mSender.reset();
+  mState = State::kIdle;
+  mChanged.cancel();
+}
+
+/// Returns how the send ended if it was not accepted.
+asio::awaitable<SendEnd>
+Takeover::Send()
+{
+  SendEnd end;
+  const bool alive = co_await IsAlive();
+  if (mState == State::kFailing) {
+    end.report.result = policy::SendResult::kCancelled;
+    co_return end;
+  }
+  if (!alive) {
+    LogNoTakeover("silent", "server " + mDecision.server.id, mDecision.by);
+    mParams.dispatcher->RecordSilence(mJobId);
+    end.report.result = policy::SendResult::kCancelled;
+    co_return end;
+  }
+  LogSend(mParams, *mRequest, mDecision);
   const auto sender =
-    std::make_shared<Sender>(mParams, mRequest, aDecision, mJobId);
+    std::make_shared<Sender>(mParams, mRequest, mDecision, mJobId);
   mSender = sender;
   auto failure = co_await sender->Start();
   if (!failure) {
-    AwaitOverlapEnd();
+    AcceptAfter(kMaxOverlap, false);
     co_await sender->AwaitHead();
     mOverlapTimer.cancel();
-    if (mState == State::kAccepted) {
-      co_return;
-    }
     if (mState == State::kSending && sender->HeadAccepts()) {
       Accept();
-      co_return;
     }
+    if (mState == State::kAccepted) {
+      co_return end;
+    }
+    mState = State::kFailing;
     failure = co_await sender->Reject();
   }
-  RecordSendEnd(mParams, *mRequest, aDecision.server.id, *failure);
-  mParams.dispatcher->Finish(mJobId, failure->report);
-  mRequest->job.excludedServers.push_back(aDecision.server.id);
-  mSender.reset();
-  mState = State::kIdle;
-  mChanged.cancel();
+  RecordSendEnd(mParams, *mRequest, mDecision.server.id, *failure);
+  end = std::move(*failure);
+  co_return end;
 }
 
-/// Accepts the takeover after kMaxOverlap unless its server has rejected the
-/// request by then.
+asio::awaitable<bool>
+Takeover::IsAlive()
+{
+  auto request = mParams.dialect->EncodeStatusRequest();
+  auto address = mDecision.server.address;
+  const bool answered = co_await mParams.pool->Answers(
+    std::move(address), std::move(request), kStatusTimeout);
+  co_return answered;
+}
+
+/// Accepts the takeover after a time unless its server has rejected the request
+/// by then.
 void
-Takeover::AwaitOverlapEnd()
+Takeover::AcceptAfter(Duration aTime, bool aLast)
 {
-  mOverlapTimer.expires_after(kMaxOverlap);
-  mOverlapTimer.async_wait([weak = weak_from_this()](const auto& aError) {
-    const auto self = weak.lock();
-    if (self && !aError && self->mState == State::kSending) {
-      self->Accept();
-    }
-  });
+  mOverlapTimer.expires_after(aTime);
+  mOverlapTimer.async_wait(
+    [weak = weak_from_this(), aLast](const auto& aError) {
+      const auto self = weak.lock();
+      if (!self || aError || self->mState != State::kSending) {
+        return;
+      }
+      if (aLast) {
+        self->Accept();
+      } else {
+        self->AcceptAfter(kOverlapGrace, true);
+      }
+    });
 }
 
 void
@@ -140,9 +202,9 @@
     mParams.dispatcher->Withdraw(mJobId);
     mState = State::kIdle;
   } else if (mState == State::kSending) {
-    mState = State::kAbandoning;
-    mRequest->mayHaveRun = true;
+    mState = State::kFailing;
     if (mSender) {
+      mRequest->mayHaveRun = true;
       mSender->Close();
     }
   }
--- a/src/forward/takeover.h
+++ b/src/forward/takeover.h
@@ -14,10 +14,13 @@
 namespace magnoliatide::forward {
 
 class Sender;
+struct SendEnd;
 
 /// Looks for a server that can continue a stream. The silent server may be
 /// sound and continue at any moment, so its run is ended only once the other
-/// server has accepted the request. Used on one event loop only.
+/// server has accepted the request: it has sent the head of its answer or,
+/// after a sign of life, has not rejected the request for a while. Used on one
+/// event loop only.
 class Takeover : public std::enable_shared_from_this<Takeover>
 {
 public:
@@ -47,15 +50,20 @@
   enum class State
   {
     kIdle,
-    kWaiting,    ///< For the scheduler's decision.
-    kSending,    ///< To the server that the scheduler has chosen.
-    kAbandoning, ///< The send is being cancelled.
+    kWaiting, ///< For the scheduler's decision.
+    kSending, ///< To the server that the scheduler has chosen.
+    kFailing, ///< The send was rejected, failed or abandoned.
     kAccepted,
   };
 
+  void LogNoTakeover(const std::string& aReason,
+                     const std::string& aDetail,
+                     const std::string& aDecidedBy) const;
   void HandleDecision(Decision aDecision);
-  boost::asio::awaitable<void> Send(Decision aDecision);
-  void AwaitOverlapEnd();
+  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<SendEnd> Send();
+  boost::asio::awaitable<bool> IsAlive();
+  void AcceptAfter(Duration aTime, bool aLast);
   void Accept();
 
   const ForwarderParams& mParams;
@@ -63,7 +71,10 @@
   std::function<void()> mOnAccepted;
   State mState = State::kIdle;
   policy::JobId mJobId = 0;        ///< Of the latest search.
+  Decision mDecision;              ///< Of the latest search that was granted.
   std::shared_ptr<Sender> mSender; ///< Set while sending and once accepted.
+  /// Server that the next search leaves out, or empty.
+  std::string mAvoidedServer;
   boost::asio::steady_timer mOverlapTimer;
   boost::asio::steady_timer mChanged; ///< Cancelled when a send is decided.
 };
--- a/src/node/dispatch_service.cpp
+++ b/src/node/dispatch_service.cpp
@@ -230,7 +230,14 @@
 void
 DispatchService::RecordSilence(policy::JobId aId)
 {
-  mClient.RecordSilence(aId, Clock::now());
+  mClient.RecordSilence(aId);
+  ScheduleFlush();
+}
+
+void
+DispatchService::RecordSilenceEnd(policy::JobId aId)
+{
+  mClient.RecordSilenceEnd(aId);
   ScheduleFlush();
 }
 
--- a/src/node/dispatch_service.h
+++ b/src/node/dispatch_service.h
@@ -64,6 +64,7 @@
   void Withdraw(policy::JobId aId) override;
   void RecordFirstEvent(policy::JobId aId) override;
   void RecordSilence(policy::JobId aId) override;
+  void RecordSilenceEnd(policy::JobId aId) override;
   void Finish(policy::JobId aId, const policy::SendReport& aReport) override;
 
 private:
--- a/src/node/local_dispatcher.cpp
+++ b/src/node/local_dispatcher.cpp
@@ -80,6 +80,11 @@
 {
 }
 
+void
+LocalDispatcher::RecordSilenceEnd(policy::JobId)
+{
+}
+
 void
 LocalDispatcher::Finish(policy::JobId aId, const policy::SendReport&)
 {
--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -31,6 +31,7 @@
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
 constexpr char kHealthPath[] = "/healthz";
+constexpr char kStatusPath[] = "/magnoliatide/report";
 
 using Message = bhttp::request<bhttp::string_body>;
 using Parser = bhttp::request_parser<bhttp::string_body>;
@@ -209,7 +210,8 @@
                                beast::flat_buffer& aBuffer,
                                Parser& aParser)
   {
-    const bool health = aParser.get().target() == kHealthPath;
+    const bool health = aParser.get().target() == kHealthPath ||
+                        aParser.get().target() == kStatusPath;
     const auto fault = health ? EngineFault::kNone : NextFault();
     if (fault != EngineFault::kEarlyAnswer && !aParser.is_done()) {
       const auto [error, bytes] =
