Report why the HTTP server closes a caller's connection

Callers reported requests that ended without an answer, and nothing in the log or the metrics told whether the server had closed their connection, and why. Each end of a connection now has a cause, counted in caller_connections_closed_total; a request that was read, wholly or in part, and got no complete answer is counted in caller_requests_dropped_total and logged as request-dropped. The HTTP server reports through a callback, so that it does not depend on the telemetry.

--- a/include/magnoliatide/http/server.h
+++ b/include/magnoliatide/http/server.h
@@ -65,9 +65,44 @@
   Duration idleTimeout = Seconds(60); ///< How long to wait for a request.
 };
 
+/// Why a connection was closed.
+enum class CloseCause
+{
+  kAnswered,      ///< After a response, as either side had asked for.
+  kCaller,        ///< The caller closed it, or the connection failed.
+  kIdle,          ///< No request arrived within the idle timeout.
+  kDrain,         ///< The server stops.
+  kReadTimeout,   ///< A request arrived too slowly.
+  kMalformed,     ///< A request was invalid or too large.
+  kWriteFailed,   ///< A response could not be written.
+  kHandlerFailed, ///< The handler failed.
+  kAborted,       ///< The handler aborted a response.
+  kLimit,         ///< Too many connections were open.
+};
+
+/// Returns the name of a cause for metrics and logs.
+const char*
+Name(CloseCause aCause);
+
+/// How a connection ended.
+struct ConnectionEnd
+{
+  CloseCause cause = CloseCause::kCaller;
+  std::string detail; ///< The text of the error, or empty.
+  /// Whether a request was read, wholly or in part, and got no complete
+  /// response. The members below describe this request.
+  bool requestDropped = false;
+  /// The request, or null if only a part of it was read.
+  const Request* request = nullptr;
+  Duration age{}; ///< Since its first byte was read.
+};
+
 struct ServerOptions
 {
   document::Endpoint address;
+  /// Called when a connection has ended, on its thread. May be empty. Must not
+  /// throw.
+  std::function<void(const ConnectionEnd&)> onConnectionEnd;
   /// Called before each request is read, on the thread of its connection.
   std::function<ServerLimits()> limits = [] { return ServerLimits(); };
   Duration writeTimeout = Seconds(20); ///< How long each write may take.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -93,9 +93,12 @@
     while (co_await ReadRequest()) {
       co_await Serve();
       if (!mKeepAlive || mShared->closing.load()) {
+        SetCause(mCallerDisconnected ? CloseCause::kCaller
+                                     : CloseCause::kAnswered);
         break;
       }
     }
+    ReportEnd();
     ErrorCode ignored;
     mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     if (mLinger) {
@@ -127,7 +130,7 @@
     const auto [error, bytes] =
       co_await bhttp::async_write(mStream, message, kNoThrow);
     static_cast<void>(bytes);
-    RecordWrite(error);
+    mResponseComplete = RecordWrite(error);
   }
 
   asio::awaitable<bool> BeginStream(Response aHead) override
@@ -161,11 +164,12 @@
     const auto [error, bytes] =
       co_await asio::async_write(mStream, bhttp::make_chunk_last(), kNoThrow);
     static_cast<void>(bytes);
-    RecordWrite(error);
+    mResponseComplete = RecordWrite(error);
   }
 
   void Abort() override
   {
+    SetCause(CloseCause::kAborted);
     mKeepAlive = false;
     ErrorCode ignored;
     mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
@@ -211,6 +215,7 @@
   bool RecordWrite(const ErrorCode& aError)
   {
     if (aError) {
+      SetCause(CloseCause::kWriteFailed, aError.message());
       mKeepAlive = false;
       mCallerDisconnected = true;
       NotifyDisconnect();
@@ -218,6 +223,31 @@
     return !aError;
   }
 
+  /// Sets why the connection ends; the first cause stays.
+  void SetCause(CloseCause aCause, std::string aDetail = {})
+  {
+    if (!mCause) {
+      mCause = aCause;
+      mDetail = std::move(aDetail);
+    }
+  }
+
+  void ReportEnd() const
+  {
+    if (!mShared->options.onConnectionEnd) {
+      return;
+    }
+    ConnectionEnd end;
+    end.cause = mCause.value_or(CloseCause::kCaller);
+    end.detail = mDetail;
+    end.requestDropped = mRequestStarted && !mResponseComplete;
+    if (end.requestDropped) {
+      end.request = mRequestRead ? &mRequest : nullptr;
+      end.age = Clock::now() - mFirstByteAt;
+    }
+    mShared->options.onConnectionEnd(end);
+  }
+
   void NotifyDisconnect()
   {
     auto function = std::move(mOnDisconnect);
@@ -254,6 +284,9 @@
 
   asio::awaitable<bool> ReadRequest()
   {
+    mRequestStarted = false;
+    mRequestRead = false;
+    mResponseComplete = false;
     mLimits = mShared->options.limits();
     mParser.emplace();
     mParser->header_limit(static_cast<std::uint32_t>(mLimits.headerBytes));
@@ -261,6 +294,8 @@
     if (mBuffer.size() == 0 && !co_await WaitForBytes()) {
       co_return false;
     }
+    mRequestStarted = true;
+    mFirstByteAt = Clock::now();
     // Beast's own timeout would close the socket, so that no error response
     // could be sent.
     mStream.expires_never();
@@ -280,6 +315,7 @@
     }
     mKeepAlive = mParser->keep_alive();
     mRequest = FromBeast(mParser->release());
+    mRequestRead = true;
     co_return true;
   }
 
@@ -322,6 +358,13 @@
       mBuffer.prepare(kReadBufferBytes), kNoThrow);
     mIdle = false;
     mBuffer.commit(bytes);
+    if (error == beast::error::timeout) {
+      SetCause(CloseCause::kIdle);
+    } else if (error) {
+      SetCause(mShared->draining.load() ? CloseCause::kDrain
+                                        : CloseCause::kCaller,
+               error.message());
+    }
     co_return !error;
   }
 
@@ -349,14 +392,24 @@
       remedy = "send the whole request without pauses";
     } else if (aError.category() !=
                bhttp::make_error_code(bhttp::error::bad_method).category()) {
+      SetCause(CloseCause::kCaller, aError.message());
       co_return;
     }
+    if (aError == bhttp::error::partial_message) {
+      SetCause(CloseCause::kCaller, aError.message());
+    }
+    SetCause(mReadExpired ? CloseCause::kReadTimeout : CloseCause::kMalformed,
+             aError.message());
     Response response =
       JsonResponse(status,
                    std::string(R"({"error":{"outcome":"not-run","kind":")") +
                      kind + R"(","remedy":")" + remedy + "\"}}");
     response.headers.push_back({ "X-Outcome", "not-run" });
     co_await Respond(std::move(response));
+    if (aError == bhttp::error::partial_message) {
+      // The caller has closed its side, so it probably does not read this.
+      mResponseComplete = false;
+    }
   }
 
   asio::awaitable<void> Serve()
@@ -390,6 +443,13 @@
   /// caller may still be sending a request.
   bool mLinger = false;
   ServerLimits mLimits;
+  std::optional<CloseCause> mCause; ///< Why the connection ends.
+  std::string mDetail;              ///< The error that belongs to mCause.
+  // These describe the request that is being read or served.
+  bool mRequestStarted = false;   ///< Its first byte was read.
+  bool mRequestRead = false;      ///< It was read completely.
+  bool mResponseComplete = false; ///< Its response was written completely.
+  TimePoint mFirstByteAt{};
   /// Whether a wait for readability is pending. There is at most one.
   bool mWatching = false;
 };
@@ -485,6 +545,11 @@
     auto& counters = mShared->counters;
     if (counters.open.load() >= mShared->options.maxConnections) {
       counters.refusedConnections.fetch_add(1);
+      if (mShared->options.onConnectionEnd) {
+        ConnectionEnd end;
+        end.cause = CloseCause::kLimit;
+        mShared->options.onConnectionEnd(end);
+      }
       return;
     }
     counters.accepted.fetch_add(1);
@@ -502,6 +567,34 @@
 
 } // namespace
 
+const char*
+Name(CloseCause aCause)
+{
+  switch (aCause) {
+    case CloseCause::kAnswered:
+      return "answered";
+    case CloseCause::kCaller:
+      return "caller";
+    case CloseCause::kIdle:
+      return "idle";
+    case CloseCause::kDrain:
+      return "drain";
+    case CloseCause::kReadTimeout:
+      return "read-timeout";
+    case CloseCause::kMalformed:
+      return "malformed";
+    case CloseCause::kWriteFailed:
+      return "write-failed";
+    case CloseCause::kHandlerFailed:
+      return "handler-failed";
+    case CloseCause::kAborted:
+      return "aborted";
+    case CloseCause::kLimit:
+      return "limit";
+  }
+  return "unknown";
+}
+
 std::unique_ptr<Server>
 StartServer(Threads& aThreads, ServerOptions aOptions, Handler aHandler)
 {
--- /dev/null
+++ b/src/http/server_test.cpp
@@ -0,0 +1,249 @@
+// Guards against requests that are dropped by the HTTP server: connections that
+// close under a request, answers that are cut, and ends without a stated cause.
+// Callers are plain sockets on loopback.
+#include "magnoliatide/http/server.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <stdexcept>
+#include <thread>
+
+namespace magnoliatide::http {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr char kHost[] = "127.40.0.1";
+constexpr char kGet[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+bool
+AwaitTrue(const std::function<bool()>& aCondition)
+{
+  const TimePoint end = Clock::now() + Seconds(5);
+  while (!aCondition()) {
+    if (Clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  return true;
+}
+
+/// A caller on a connection of its own.
+class Caller
+{
+public:
+  explicit Caller(std::uint16_t aPort)
+    : mSocket(mLoop)
+  {
+    mSocket.connect({ asio::ip::make_address(kHost), aPort });
+    mSocket.set_option(tcp::no_delay(true));
+  }
+
+  void Send(const std::string& aBytes)
+  {
+    ErrorCode ignored;
+    asio::write(mSocket, asio::buffer(aBytes), ignored);
+  }
+
+  /// Reads until the text received contains aText, or the connection ends, or
+  /// nothing arrives for a long time. Returns what was received.
+  std::string ReadUntil(const std::string& aText)
+  {
+    std::string received;
+    char chunk[65536];
+    while (aText.empty() || received.find(aText) == std::string::npos) {
+      std::size_t size = 0;
+      mSocket.async_read_some(
+        asio::buffer(chunk),
+        [&](const ErrorCode&, std::size_t aSize) { size = aSize; });
+      mLoop.restart();
+      mLoop.run_for(Seconds(5));
+      if (!mLoop.stopped()) {
+        mSocket.cancel();
+        mLoop.run();
+      }
+      if (size == 0) {
+        break;
+      }
+      received.append(chunk, size);
+    }
+    return received;
+  }
+
+  /// Reads until the server closes the connection.
+  std::string ReadAll() { return ReadUntil(""); }
+
+  void Close() { mSocket.close(); }
+
+private:
+  asio::io_context mLoop;
+  tcp::socket mSocket;
+};
+
+/// A server with one thread, and the ends of its connections.
+class HttpServer : public ::testing::Test
+{
+protected:
+  ~HttpServer() override { mThreads.Stop(); }
+
+  void Start(Handler aHandler, ServerOptions aOptions = {})
+  {
+    aOptions.onConnectionEnd = [this](const ConnectionEnd& aEnd) {
+      std::lock_guard<std::mutex> lock(mMutex);
+      mEnds.push_back(aEnd);
+      mEnds.back().request = nullptr;
+      mWholeDropped += aEnd.request != nullptr ? 1 : 0;
+    };
+    aOptions.address.host = kHost;
+    for (std::uint16_t port = 21000; port < 22000 && !mServer; ++port) {
+      aOptions.address.port = port;
+      try {
+        mServer = StartServer(mThreads, aOptions, aHandler);
+        mPort = port;
+      } catch (const std::runtime_error&) {
+        // The port is taken; the next one may be free.
+        continue;
+      }
+    }
+    ASSERT_NE(mServer, nullptr);
+  }
+
+  /// Answers with the target of the request.
+  static asio::awaitable<void> Echo(Exchange& aExchange)
+  {
+    Response response = TextResponse(200, "to " + aExchange.Incoming().target);
+    co_await aExchange.Respond(std::move(response));
+  }
+
+  /// Blocks the event loop until the returned promise is set.
+  std::promise<void> BlockLoop()
+  {
+    std::promise<void> release;
+    std::promise<void> blocked;
+    auto started = blocked.get_future();
+    asio::post(mThreads.At(0),
+               [&blocked, until = release.get_future().share()] {
+                 blocked.set_value();
+                 until.wait();
+               });
+    started.wait();
+    return release;
+  }
+
+  std::size_t EndCount()
+  {
+    std::lock_guard<std::mutex> lock(mMutex);
+    return mEnds.size();
+  }
+
+  /// Returns the end of the only connection.
+  ConnectionEnd OnlyEnd()
+  {
+    EXPECT_TRUE(AwaitTrue([&] { return EndCount() == 1; }));
+    std::lock_guard<std::mutex> lock(mMutex);
+    return mEnds.empty() ? ConnectionEnd() : mEnds.front();
+  }
+
+  Threads mThreads{ 1 };
+  std::unique_ptr<Server> mServer;
+  std::uint16_t mPort = 0;
+  std::mutex mMutex;
+  std::vector<ConnectionEnd> mEnds; ///< Guarded by mMutex.
+  int mWholeDropped = 0;            ///< Guarded by mMutex.
+};
+
+// Guards against closed connections whose cause cannot be told.
+TEST_F(HttpServer, AnAnsweredConnectionIsNoDrop)
+{
+  Start(Echo);
+  Caller caller(mPort);
+  caller.Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_NE(caller.ReadAll().find("to /x"), std::string::npos);
+  const auto end = OnlyEnd();
+  EXPECT_STREQ(Name(end.cause), "answered");
+  EXPECT_FALSE(end.requestDropped);
+}
+
+// Guards against a part of a request that disappears without a trace.
+TEST_F(HttpServer, APartOfARequestIsReportedAsDropped)
+{
+  Start(Echo);
+  Caller caller(mPort);
+  caller.Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc");
+  caller.Close();
+  const auto end = OnlyEnd();
+  EXPECT_STREQ(Name(end.cause), "caller");
+  EXPECT_TRUE(end.requestDropped);
+  EXPECT_EQ(mWholeDropped, 0);
+}
+
+// Guards against a slow request that looks like a lost one: it is refused.
+TEST_F(HttpServer, ASlowRequestIsRefusedAndReported)
+{
+  ServerOptions options;
+  options.limits = [] {
+    ServerLimits limits;
+    limits.headerTimeout = Milliseconds(50);
+    return limits;
+  };
+  Start(Echo, options);
+  Caller caller(mPort);
+  caller.Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc");
+  EXPECT_EQ(caller.ReadUntil("}}").substr(0, 12), "HTTP/1.1 408");
+  const auto end = OnlyEnd();
+  EXPECT_STREQ(Name(end.cause), "read-timeout");
+  EXPECT_FALSE(end.requestDropped);
+}
+
+// Guards against an idle timeout or a stop that is taken for a dropped request.
+TEST_F(HttpServer, IdleConnectionsEndWithTheirCause)
+{
+  ServerOptions options;
+  options.limits = [] {
+    ServerLimits limits;
+    limits.idleTimeout = Milliseconds(10);
+    return limits;
+  };
+  Start(Echo, options);
+  Caller caller(mPort);
+  EXPECT_EQ(caller.ReadAll(), "");
+  const auto end = OnlyEnd();
+  EXPECT_STREQ(Name(end.cause), "idle");
+  EXPECT_FALSE(end.requestDropped);
+}
+
+TEST_F(HttpServer, AStopEndsIdleConnectionsWithItsCause)
+{
+  Start(Echo);
+  Caller caller(mPort);
+  caller.Send(kGet);
+  EXPECT_NE(caller.ReadUntil("to /x").find("to /x"), std::string::npos);
+  mServer->Drain();
+  EXPECT_EQ(caller.ReadAll(), "");
+  const auto end = OnlyEnd();
+  EXPECT_STREQ(Name(end.cause), "drain");
+  EXPECT_FALSE(end.requestDropped);
+}
+
+// Guards against connections beyond the limit that close without being counted.
+TEST_F(HttpServer, AConnectionBeyondTheLimitIsReported)
+{
+  ServerOptions options;
+  options.maxConnections = 0;
+  Start(Echo, options);
+  Caller caller(mPort);
+  EXPECT_EQ(caller.ReadAll(), "");
+  EXPECT_STREQ(Name(OnlyEnd().cause), "limit");
+  EXPECT_EQ(mServer->Counters().refusedConnections.load(), 1u);
+}
+
+} // namespace
+} // namespace magnoliatide::http
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -2,6 +2,7 @@
 // them share one event loop, because the VM has only a share of one processor.
 #include "magnoliatide/node/vm.h"
 
+#include "connection_record.h"
 #include "dispatch_service.h"
 #include "local_dispatcher.h"
 #include "peer_link.h"
@@ -349,6 +350,12 @@
     callers.address = mSettings.callerAddress;
     callers.advertiseIdleTimeout = true;
     callers.limits = [this] { return CurrentLimits(); };
+    callers.onConnectionEnd = [this](const http::ConnectionEnd& aEnd) {
+      RecordConnectionEnd(
+        mMetrics,
+        aEnd,
+        aEnd.request != nullptr ? mDialect->DecodeCall(*aEnd.request).id : "");
+    };
     mCallerServer =
       http::StartServer(mThreads, callers, [this](http::Exchange& aExchange) {
         return mForwarder.Handle(aExchange);
--- a/src/node/registry_vm.cpp
+++ b/src/node/registry_vm.cpp
@@ -5,6 +5,7 @@
 #include "admin_service.h"
 #include "claim_service.h"
 #include "config_service.h"
+#include "connection_record.h"
 #include "notice_service.h"
 #include "order_service.h"
 #include "peer_link.h"
@@ -274,6 +275,9 @@
   {
     http::ServerOptions callers;
     callers.address = mSettings.callerAddress;
+    callers.onConnectionEnd = [this](const http::ConnectionEnd& aEnd) {
+      RecordConnectionEnd(mMetrics, aEnd, "");
+    };
     mCallerServer = http::StartServer(
       mCallerThreads, callers, [this](http::Exchange& aExchange) {
         return mGateway.Handle(aExchange);
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -467,6 +467,29 @@
   EXPECT_EQ(RunsOf(mFleet), 0u);
 }
 
+// Guards against callers' connections that end without a trace in the metrics
+// and the log.
+TEST_F(Platform, TheEndOfEachConnectionHasACause)
+{
+  StartWith(1);
+  mFleet.Call(0, CallTo("/deposits/1"));
+  mFleet.SendRaw(0,
+                 "POST /deposits/2 HTTP/1.1\r\nHost: shop.example\r\n"
+                 "Content-Length: 9\r\n\r\nabc",
+                 Milliseconds(50));
+  EXPECT_TRUE(AwaitTrue([&] {
+    const auto metrics = mFleet.Metrics(0);
+    return metrics.find(
+             "caller_connections_closed_total{cause=\"answered\"}") !=
+             std::string::npos &&
+           metrics.find("caller_requests_dropped_total{cause=\"caller\"} 1") !=
+             std::string::npos;
+  }))
+    << mFleet.Metrics(0);
+  EXPECT_NE(mFleet.Log(0).find("event=request-dropped cause=caller read=part"),
+            std::string::npos);
+}
+
 TEST_F(Platform, ATeamIsHeldToItsQuota)
 {
   mFleet.AddEngine(Engine("i-1"));
