Stop the timer of a request's read before the request is served

Callers that left were not noticed, and their servers ran on: when the last byte of a request and the header timeout came in the same turn of the event loop, the handler of the timer was already queued, cancel() did not recall it, and it cancelled the watch for the caller's disconnect. Evidence: LastByteAtTheTimeout.DoesNotEndTheWatchForTheCaller blocks the loop over both and failed in each of its 3 rounds before. A number now tells whether the timer that expires still is the one that runs.

Beast's composed reads had the reverse fault: a timer that expired between two parts of a header cancelled nothing, and no timer was left. The server now reads with single operations and checks the timer before each.

The same timer was suspected of cutting answers. The test stays as a guard.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -11,7 +11,6 @@
 #include <optional>
 #include <set>
 #include <stdexcept>
-#include <tuple>
 
 namespace magnoliatide::http {
 
@@ -36,6 +35,9 @@
 /// Size of the buffer for one read of an idle or lingering connection.
 constexpr std::size_t kReadBufferBytes = 4096;
 
+/// Maximum size of one read of a request.
+constexpr std::size_t kMaxReadBytes = 65536;
+
 Request
 FromBeast(bhttp::request<bhttp::string_body>&& aMessage)
 {
@@ -299,16 +301,18 @@
     // Beast's own timeout would close the socket, so that no error response
     // could be sent.
     mStream.expires_never();
-    auto& socket = mStream.socket();
     StartReadTimer();
-    auto [error, bytes] =
-      co_await bhttp::async_read_header(socket, mBuffer, *mParser, kNoThrow);
+    ErrorCode error = ParseBuffer();
     while (!error && !mParser->is_done()) {
-      StartReadTimer();
-      std::tie(error, bytes) =
-        co_await bhttp::async_read_some(socket, mBuffer, *mParser, kNoThrow);
+      if (mParser->is_header_done()) {
+        StartReadTimer();
+      }
+      error = mReadExpired ? asio::error::timed_out : co_await ReadSome();
+      if (!error) {
+        error = ParseBuffer();
+      }
     }
-    mReadTimer.cancel();
+    StopReadTimer();
     if (error) {
       co_await RefuseMalformed(error);
       co_return false;
@@ -319,19 +323,61 @@
     co_return true;
   }
 
+  /// Parses what the buffer holds. Returns no error if a further part of the
+  /// request is needed.
+  ErrorCode ParseBuffer()
+  {
+    while (mBuffer.size() > 0 && !mParser->is_done()) {
+      ErrorCode error;
+      const auto used = mParser->put(mBuffer.data(), error);
+      mBuffer.consume(used);
+      if (error && error != bhttp::error::need_more) {
+        return error;
+      }
+      if (used == 0) {
+        break;
+      }
+    }
+    return {};
+  }
+
+  /// Reads a further part of a request. The read is a single operation: it
+  /// either is cancelled or has bytes, so that the timer cannot cancel a part
+  /// that has arrived.
+  asio::awaitable<ErrorCode> ReadSome()
+  {
+    auto [error, bytes] = co_await mStream.socket().async_read_some(
+      mBuffer.prepare(beast::read_size(mBuffer, kMaxReadBytes)), kNoThrow);
+    mBuffer.commit(bytes);
+    if (error == asio::error::eof) {
+      mParser->put_eof(error);
+    }
+    co_return error;
+  }
+
   /// Starts the timer that cancels the next read after the header timeout.
   void StartReadTimer()
   {
     mReadExpired = false;
     mReadTimer.expires_after(mLimits.headerTimeout);
-    mReadTimer.async_wait([weak = weak_from_this()](const ErrorCode& aError) {
-      const auto self = weak.lock();
-      if (self && !aError) {
-        self->mReadExpired = true;
-        ErrorCode ignored;
-        self->mStream.socket().cancel(ignored);
-      }
-    });
+    mReadTimer.async_wait(
+      [weak = weak_from_this(), number = ++mReadTimerNumber](const ErrorCode&) {
+        const auto self = weak.lock();
+        if (self && number == self->mReadTimerNumber) {
+          self->mReadExpired = true;
+          ErrorCode ignored;
+          self->mStream.socket().cancel(ignored);
+        }
+      });
+  }
+
+  /// Stops the timer. The number also stops a handler that is already queued,
+  /// which cancel() does not, and which would cancel operations of the
+  /// response.
+  void StopReadTimer()
+  {
+    ++mReadTimerNumber;
+    mReadTimer.cancel();
   }
 
   /// Reads and discards what the caller still sends, for at most kLingerTime.
@@ -429,7 +475,9 @@
 
   beast::tcp_stream mStream;
   asio::steady_timer mReadTimer;
-  bool mReadExpired = false; ///< The timer cancelled the last read.
+  /// Identifies the timer that is running; handlers of others do nothing.
+  std::uint64_t mReadTimerNumber = 0;
+  bool mReadExpired = false; ///< The timer has expired.
   std::shared_ptr<SharedState> mShared;
   beast::flat_buffer mBuffer;
   std::optional<bhttp::request_parser<bhttp::string_body>> mParser;
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -245,5 +245,82 @@
   EXPECT_EQ(mServer->Counters().refusedConnections.load(), 1u);
 }
 
+/// Limits with a header timeout that lets the tests reach it quickly.
+ServerLimits
+ShortHeaderTimeout()
+{
+  ServerLimits limits;
+  limits.headerTimeout = Milliseconds(20);
+  return limits;
+}
+
+/// Sends a request whose last byte and the header timeout come in the same turn
+/// of the event loop.
+class LastByteAtTheTimeout : public HttpServer
+{
+protected:
+  void Run(Caller& aCaller)
+  {
+    aCaller.Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab");
+    // The server has read this and has set its timer.
+    std::this_thread::sleep_for(Milliseconds(5));
+    auto release = BlockLoop();
+    std::this_thread::sleep_for(Milliseconds(30));
+    aCaller.Send("c");
+    std::this_thread::sleep_for(Milliseconds(2));
+    release.set_value();
+  }
+};
+
+// Guards against an answer that is cut because the timer of the request's last
+// read fires after that read has ended.
+TEST_F(LastByteAtTheTimeout, DoesNotCutTheAnswer)
+{
+  // More than the socket buffers hold, so that writing takes several turns.
+  const std::string body(16 * 1024 * 1024, 'x');
+  ServerOptions options;
+  options.limits = ShortHeaderTimeout;
+  Start(
+    [&](Exchange& aExchange) -> asio::awaitable<void> {
+      Response response = TextResponse(200, body);
+      response.headers.push_back({ "Connection", "close" });
+      co_await aExchange.Respond(std::move(response));
+    },
+    options);
+  for (int i = 0; i < 6; ++i) {
+    Caller caller(mPort);
+    Run(caller);
+    const auto answer = caller.ReadUntil(body);
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200") << "round " << i;
+    ASSERT_GT(answer.size(), body.size()) << "round " << i;
+  }
+}
+
+// Guards against a server that no longer notices that its caller has left,
+// because the same timer ended the watch.
+TEST_F(LastByteAtTheTimeout, DoesNotEndTheWatchForTheCaller)
+{
+  ServerOptions options;
+  options.limits = ShortHeaderTimeout;
+  std::atomic<int> left{ 0 };
+  Start(
+    [&](Exchange& aExchange) -> asio::awaitable<void> {
+      aExchange.OnCallerDisconnect([&left] { left.fetch_add(1); });
+      asio::steady_timer timer(co_await asio::this_coro::executor,
+                               Milliseconds(300));
+      co_await timer.async_wait(asio::use_awaitable);
+    },
+    options);
+  for (int i = 1; i <= 3; ++i) {
+    Caller caller(mPort);
+    Run(caller);
+    std::this_thread::sleep_for(Milliseconds(20));
+    caller.Close();
+    EXPECT_TRUE(
+      AwaitTrue([&] { return mServer->Counters().inProgress.load() == 0; }));
+    EXPECT_EQ(left.load(), i);
+  }
+}
+
 } // namespace
 } // namespace magnoliatide::http
