Wait in a planned stop for requests that are being read

Beside a planned stop, a request of which the head or body was partly in got no answer: the process counted only requests that had been read completely, and ended under the others. Evidence: APlannedStopWaitsForARequestThatIsBeingSent, in which both callers got nothing before. The process now waits until the server has drained: until every connection has ended, which Drain() brings about for each one that has nothing in progress.

New connections were closed before their first request (ANewConnectionMaySendItsRequest); they now have a second. Requests read together with an earlier one got no answer because the earlier answer ended the connection (PipelinedRequestsAreAnswered); it now stays open for what has arrived. The registry's VM tells its callers from the beginning of its stop that the connection closes, as the other kind of VM does.

The coroutine that accepts connections no longer refers to the server object, which may end before it.

--- a/include/magnoliatide/http/server.h
+++ b/include/magnoliatide/http/server.h
@@ -129,14 +129,18 @@
 public:
   virtual ~Server() = default;
 
-  /// Closes each connection after its next response. New connections are still
-  /// accepted.
+  /// Closes each connection after its next response, unless a further request
+  /// has already arrived. New connections are still accepted.
   virtual void CloseAfterResponses() = 0;
 
-  /// Stops accepting connections, and closes idle connections at once and the
-  /// others after the request in progress.
+  /// Stops accepting connections, after those that already wait to be accepted.
+  /// Closes idle connections at once, new ones if no request arrives soon, and
+  /// the others after the requests that have arrived.
   virtual void Drain() = 0;
 
+  /// Returns whether Drain() was called and all connections have ended.
+  virtual bool Drained() const = 0;
+
   virtual const ServerCounters& Counters() const = 0;
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -7,6 +7,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -28,6 +29,10 @@
 /// a request in transit at that moment is still served.
 constexpr Duration kIdleGrace = Seconds(1);
 
+/// How long a new connection stays open for its first request while the server
+/// drains.
+constexpr Duration kFirstRequestGrace = Seconds(1);
+
 /// How long the rest of a refused request is read and discarded, so that the
 /// caller can read the response before the connection is closed.
 constexpr Duration kLingerTime = Seconds(2);
@@ -65,6 +70,7 @@
   ServerCounters counters;
   std::atomic<bool> closing{ false };  ///< Connections close after a response.
   std::atomic<bool> draining{ false }; ///< Idle connections close as well.
+  std::atomic<bool> accepting{ true }; ///< Further connections may be added.
 };
 
 class Connection
@@ -205,7 +211,7 @@
     for (const auto& header : aResponse.headers) {
       aMessage.insert(header.name, header.value);
     }
-    mKeepAlive = mKeepAlive && !mShared->closing.load();
+    mKeepAlive = mKeepAlive && (!mShared->closing.load() || HasInput());
     aMessage.keep_alive(mKeepAlive);
     if (mKeepAlive && mShared->options.advertiseIdleTimeout) {
       const auto seconds =
@@ -215,6 +221,13 @@
     }
   }
 
+  /// Returns whether bytes of a further request have arrived.
+  bool HasInput()
+  {
+    ErrorCode error;
+    return mBuffer.size() > 0 || mStream.socket().available(error) > 0;
+  }
+
   /// Records that the caller has disconnected if a write failed. Returns
   /// whether the write succeeded.
   bool RecordWrite(const ErrorCode& aError)
@@ -403,18 +416,21 @@
   asio::awaitable<bool> WaitForBytes()
   {
     const TimePoint idleEnd = Clock::now() + mLimits.idleTimeout + kIdleGrace;
+    const TimePoint drainEnd =
+      mFirstRequest ? mOpenedAt + kFirstRequestGrace : TimePoint();
     mIdle = true;
     ErrorCode error;
     while (mBuffer.size() == 0 && !error) {
       const bool draining = mShared->draining.load();
-      const auto now = Clock::now();
-      if (draining || now >= idleEnd) {
+      const TimePoint end = draining ? std::min(idleEnd, drainEnd) : idleEnd;
+      const TimePoint now = Clock::now();
+      if (now >= end) {
         error = ReadAvailable();
         if (error == asio::error::would_block) {
           SetCause(draining ? CloseCause::kDrain : CloseCause::kIdle);
         }
       } else {
-        StartReadTimer(idleEnd - now);
+        StartReadTimer(end - now);
         const auto [readError, bytes] =
           co_await mStream.socket().async_read_some(
             mBuffer.prepare(kReadBufferBytes), kNoThrow);
@@ -426,6 +442,7 @@
       }
     }
     mIdle = false;
+    mFirstRequest = false;
     if (error) {
       SetCause(CloseCause::kCaller, error.message());
     }
@@ -515,7 +532,9 @@
   bool mKeepAlive = true;
   bool mCallerDisconnected = false;
   bool mServing = false;
-  bool mIdle = false; ///< No byte of the next request has arrived.
+  bool mIdle = false;        ///< No byte of the next request has arrived.
+  bool mFirstRequest = true; ///< No byte has arrived at all.
+  TimePoint mOpenedAt = Clock::now();
   /// Whether input is discarded before the connection is closed, because the
   /// caller may still be sending a request.
   bool mLinger = false;
@@ -537,43 +556,53 @@
   co_await aConnection->Run();
 }
 
-class AsioServer : public Server
+/// Accepts connections. Shared with its coroutine, which may outlive the
+/// server.
+class Listener : public std::enable_shared_from_this<Listener>
 {
 public:
-  AsioServer(Threads& aThreads, ServerOptions aOptions, Handler aHandler)
+  Listener(Threads& aThreads, std::shared_ptr<SharedState> aShared)
     : mThreads(aThreads)
-    , mShared(std::make_shared<SharedState>())
+    , mShared(std::move(aShared))
     , mAcceptor(aThreads.At(0))
   {
-    mShared->options = std::move(aOptions);
-    mShared->handler = std::move(aHandler);
     Bind();
-    asio::co_spawn(mThreads.At(0), Accept(), asio::detached);
   }
 
-  ~AsioServer() override
+  asio::awaitable<void> Run()
   {
-    ErrorCode ignored;
-    mAcceptor.close(ignored);
+    const auto self = shared_from_this();
+    while (mAcceptor.is_open() && !mShared->draining.load()) {
+      auto [error, socket] = co_await mAcceptor.async_accept(
+        mThreads.Next().get_executor(), kNoThrow);
+      if (error == asio::error::operation_aborted) {
+        break;
+      }
+      if (error) {
+        co_await WaitAfterError();
+        continue;
+      }
+      Start(std::move(socket));
+    }
+    if (mAcceptor.is_open()) {
+      AcceptBacklog();
+    }
   }
 
-  void CloseAfterResponses() override { mShared->closing.store(true); }
-
-  void Drain() override
+  /// Ends Run() after the connections that wait to be accepted.
+  void Drain()
   {
-    CloseAfterResponses();
-    mShared->draining.store(true);
-    asio::post(mThreads.At(0), [this] {
+    asio::post(mThreads.At(0), [self = shared_from_this()] {
       ErrorCode ignored;
-      mAcceptor.close(ignored);
+      self->mAcceptor.cancel(ignored);
     });
-    std::lock_guard<std::mutex> lock(mShared->mutex);
-    for (auto* connection : mShared->connections) {
-      connection->WakeIfIdle();
-    }
   }
 
-  const ServerCounters& Counters() const override { return mShared->counters; }
+  void Close()
+  {
+    ErrorCode ignored;
+    mAcceptor.close(ignored);
+  }
 
 private:
   void Bind()
@@ -593,20 +622,22 @@
     }
   }
 
-  asio::awaitable<void> Accept()
+  /// Accepts the connections that the operating system has already established
+  /// and would reset, and closes the acceptor.
+  void AcceptBacklog()
   {
-    while (mAcceptor.is_open()) {
-      auto [error, socket] = co_await mAcceptor.async_accept(
-        mThreads.Next().get_executor(), kNoThrow);
-      if (error == asio::error::operation_aborted) {
-        break;
-      }
-      if (error) {
-        co_await WaitAfterError();
-        continue;
+    ErrorCode error;
+    mAcceptor.non_blocking(true, error);
+    while (!error) {
+      auto socket = mAcceptor.accept(mThreads.Next().get_executor(), error);
+      if (!error) {
+        Start(std::move(socket));
+      } else if (error == asio::error::connection_aborted) {
+        error.clear();
       }
-      Start(std::move(socket));
     }
+    mAcceptor.close(error);
+    mShared->accepting.store(false);
   }
 
   /// Waits before the next accept, as errors such as a lack of file descriptors
@@ -642,6 +673,45 @@
   tcp::acceptor mAcceptor;
 };
 
+class AsioServer : public Server
+{
+public:
+  AsioServer(Threads& aThreads, ServerOptions aOptions, Handler aHandler)
+    : mShared(std::make_shared<SharedState>())
+  {
+    mShared->options = std::move(aOptions);
+    mShared->handler = std::move(aHandler);
+    mListener = std::make_shared<Listener>(aThreads, mShared);
+    asio::co_spawn(aThreads.At(0), mListener->Run(), asio::detached);
+  }
+
+  ~AsioServer() override { mListener->Close(); }
+
+  void CloseAfterResponses() override { mShared->closing.store(true); }
+
+  void Drain() override
+  {
+    CloseAfterResponses();
+    mShared->draining.store(true);
+    mListener->Drain();
+    std::lock_guard<std::mutex> lock(mShared->mutex);
+    for (auto* connection : mShared->connections) {
+      connection->WakeIfIdle();
+    }
+  }
+
+  bool Drained() const override
+  {
+    return !mShared->accepting.load() && mShared->counters.open.load() == 0;
+  }
+
+  const ServerCounters& Counters() const override { return mShared->counters; }
+
+private:
+  std::shared_ptr<SharedState> mShared;
+  std::shared_ptr<Listener> mListener;
+};
+
 } // namespace
 
 const char*
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -384,6 +384,69 @@
   ExpectLastAnswers();
 }
 
+// Guards against connections that the server accepts by its listening socket
+// alone, and resets when it stops.
+TEST_F(Stop, ConnectionsInTheBacklogAreServed)
+{
+  Start(Echo);
+  auto release = BlockLoop();
+  for (int i = 0; i < 20; ++i) {
+    mCallers.push_back(std::make_unique<Caller>(mPort));
+    mCallers.back()->Send(kGetY);
+  }
+  mServer->Drain();
+  release.set_value();
+  ExpectLastAnswers();
+}
+
+// Guards against new connections that are closed before their caller has had
+// the time to send its request.
+TEST_F(Stop, ANewConnectionMaySendItsRequest)
+{
+  Start(Echo);
+  for (int i = 0; i < 4; ++i) {
+    mCallers.push_back(std::make_unique<Caller>(mPort));
+  }
+  ASSERT_TRUE(
+    AwaitTrue([&] { return mServer->Counters().accepted.load() == 4; }));
+  mServer->Drain();
+  std::this_thread::sleep_for(Milliseconds(100));
+  for (auto& caller : mCallers) {
+    caller->Send(kGetY);
+  }
+  ExpectLastAnswers();
+}
+
+// Guards against requests that are read together with an earlier one and get no
+// answer, because the earlier answer ends the connection.
+TEST_F(Stop, PipelinedRequestsAreAnswered)
+{
+  Start(Echo);
+  OpenConnections(1);
+  auto release = BlockLoop();
+  mCallers[0]->Send(std::string(kGet) + kGet + kGetY);
+  mServer->Drain();
+  release.set_value();
+  ExpectLastAnswers();
+}
+
+// Guards against a process that ends while a request is being read.
+TEST_F(Stop, TheServerHasNotDrainedWhileARequestIsRead)
+{
+  Start(Echo);
+  OpenConnections(1);
+  mCallers[0]->Send("POST /y HTTP/1.1\r\nHost: h\r\n");
+  mServer->Drain();
+  std::this_thread::sleep_for(Milliseconds(100));
+  EXPECT_FALSE(mServer->Drained());
+  mCallers[0]->Send("Content-Length: 4\r\n\r\nab");
+  std::this_thread::sleep_for(Milliseconds(100));
+  EXPECT_FALSE(mServer->Drained());
+  mCallers[0]->Send("cd");
+  ExpectLastAnswers();
+  EXPECT_TRUE(AwaitTrue([&] { return mServer->Drained(); }));
+}
+
 /// A request that follows an answer which promised to keep the connection, and
 /// comes while the server starts to stop.
 class RequestAfterAKeepingAnswer : public Stop
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -471,8 +471,7 @@
     mCallerServer->CloseAfterResponses();
     std::this_thread::sleep_for(kDrainDelay);
     mCallerServer->Drain();
-    while (mCallerServer->Counters().inProgress.load() > 0 &&
-           Clock::now() < drainEnd) {
+    while (!mCallerServer->Drained() && Clock::now() < drainEnd) {
       std::this_thread::sleep_for(Milliseconds(20));
     }
     asio::post(mLoop,
@@ -482,7 +481,9 @@
                "draining",
                "stopped",
                std::to_string(mCallerServer->Counters().inProgress.load()) +
-                 " requests in progress");
+                 " requests in progress, " +
+                 std::to_string(mCallerServer->Counters().open.load()) +
+                 " connections open");
   }
 
   document::Settings mSettings;
--- a/src/node/registry_vm.cpp
+++ b/src/node/registry_vm.cpp
@@ -476,11 +476,11 @@
   {
     mAudit.Add("vm", "serving", "draining", "planned stop");
     mGateway.SetDraining();
+    mCallerServer->CloseAfterResponses();
     const auto deadline = Clock::now() + mSettings.drainTime;
     std::this_thread::sleep_for(kDrainDelay);
     mCallerServer->Drain();
-    while (mCallerServer->Counters().inProgress.load() > 0 &&
-           Clock::now() < deadline) {
+    while (!mCallerServer->Drained() && Clock::now() < deadline) {
       std::this_thread::sleep_for(Milliseconds(10));
     }
     asio::post(mControlThread.At(0),
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -333,40 +333,71 @@
   Send(mVms[aVm].callerAddress, RequestOf(aCall), aAfter).get();
 }
 
+namespace {
+
+/// Reads until the connection ends or nothing arrives for the given time, and
+/// closes the socket.
 std::string
-PlatformFleet::SendRaw(std::size_t aVm,
-                       const std::string& aBytes,
-                       Duration aPause)
+ReadAnswer(asio::io_context& aLoop,
+           asio::ip::tcp::socket& aSocket,
+           Duration aPause)
 {
-  asio::io_context loop;
-  asio::ip::tcp::socket socket(loop);
-  const auto& address = mVms[aVm].callerAddress;
-  socket.connect({ asio::ip::make_address(address.host), address.port });
-  asio::write(socket, asio::buffer(aBytes));
   std::string answer;
   char chunk[4096];
   bool open = true;
   while (open) {
     std::size_t received = 0;
-    socket.async_read_some(asio::buffer(chunk),
-                           [&](const auto& aError, std::size_t aSize) {
-                             received = aSize;
-                             open = !aError;
-                           });
-    loop.restart();
-    loop.run_for(aPause);
+    aSocket.async_read_some(asio::buffer(chunk),
+                            [&](const auto& aError, std::size_t aSize) {
+                              received = aSize;
+                              open = !aError;
+                            });
+    aLoop.restart();
+    aLoop.run_for(aPause);
     if (received == 0) {
       break;
     }
     answer.append(chunk, received);
   }
   boost::system::error_code ignored;
-  socket.close(ignored);
-  loop.restart();
-  loop.run_for(Milliseconds(10));
+  aSocket.close(ignored);
+  aLoop.restart();
+  aLoop.run_for(Milliseconds(10));
   return answer;
 }
 
+} // namespace
+
+std::string
+PlatformFleet::SendRaw(std::size_t aVm,
+                       const std::string& aBytes,
+                       Duration aPause)
+{
+  asio::io_context loop;
+  asio::ip::tcp::socket socket(loop);
+  const auto& address = mVms[aVm].callerAddress;
+  socket.connect({ asio::ip::make_address(address.host), address.port });
+  asio::write(socket, asio::buffer(aBytes));
+  return ReadAnswer(loop, socket, aPause);
+}
+
+std::string
+PlatformFleet::SendInTwo(std::size_t aVm,
+                         const std::string& aFirst,
+                         const std::string& aSecond,
+                         Duration aPause)
+{
+  asio::io_context loop;
+  asio::ip::tcp::socket socket(loop);
+  const auto& address = mVms[aVm].callerAddress;
+  socket.connect({ asio::ip::make_address(address.host), address.port });
+  asio::write(socket, asio::buffer(aFirst));
+  std::this_thread::sleep_for(aPause);
+  boost::system::error_code ignored;
+  asio::write(socket, asio::buffer(aSecond), ignored);
+  return ReadAnswer(loop, socket, Seconds(2));
+}
+
 std::string
 PlatformFleet::Log(std::size_t aVm) const
 {
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -138,6 +138,13 @@
                       const std::string& aBytes,
                       Duration aPause);
 
+  /// Sends two parts of a request on a new connection with a pause between
+  /// them. Returns what is received afterwards.
+  std::string SendInTwo(std::size_t aVm,
+                        const std::string& aFirst,
+                        const std::string& aSecond,
+                        Duration aPause);
+
   /// Returns the HTTP request of a call, for callers that manage connections
   /// themselves.
   http::Request RequestOf(const CallSpec& aCall);
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -545,6 +545,36 @@
   EXPECT_EQ(mFleet.Vms()[0].process.ExitStatus(), 0);
 }
 
+// Guards against a process that ends while it reads a request.
+TEST_F(Platform, APlannedStopWaitsForARequestThatIsBeingSent)
+{
+  StartWith(1);
+  mFleet.Vms()[0].process.Signal(SIGTERM);
+  std::this_thread::sleep_for(Milliseconds(2300));
+  std::string answers[2];
+  const std::string head = "POST /deposits/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                           "Attempt-Id: 00000000000000a";
+  const std::string rest = "\r\nDeadline-Ms: 5000\r\n"
+                           "Authorization: Token key-of-planners\r\n"
+                           "Content-Length: 4\r\n\r\n";
+  // One caller pauses within the head, the other within the body.
+  std::thread first([&] {
+    answers[0] =
+      mFleet.SendInTwo(0, head, "1" + rest + "abcd", Milliseconds(1000));
+  });
+  std::thread second([&] {
+    answers[1] =
+      mFleet.SendInTwo(0, head + "2" + rest + "ab", "cd", Milliseconds(1000));
+  });
+  first.join();
+  second.join();
+  for (const auto& answer : answers) {
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200") << answer;
+    EXPECT_NE(answer.find("answer to /deposits/1 abcd"), std::string::npos);
+  }
+  EXPECT_TRUE(mFleet.Vms()[0].process.Wait(Seconds(8)));
+}
+
 TEST_F(Platform, EveryRequestCanBeFollowedInTheLog)
 {
   StartWith(1);
