Answer the requests that remain at the end of a planned stop

A request that still waited for a server when the grace time of a planned stop was over got no answer: the process ended and its connection closed. Evidence: APlannedStopAnswersWhatStillWaits, in which the waiting caller was cut before. The VM now ends what remains as if the deadlines had passed, within the margin that it keeps before the platform kills it: a request that has not run is refused with 503, which its caller may send again; one that may have run is answered so.

--- a/include/magnoliatide/forward/forwarder.h
+++ b/include/magnoliatide/forward/forwarder.h
@@ -59,6 +59,10 @@
   /// Serves one request of a caller.
   boost::asio::awaitable<void> Handle(http::Exchange& aExchange);
 
+  /// Ends all requests as if their deadlines had passed, so that each one that
+  /// has no answer yet gets one.
+  void EndAll();
+
 private:
   struct Core;
   std::unique_ptr<Core> mCore;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -10,6 +10,8 @@
 
 #include <boost/asio.hpp>
 
+#include <set>
+
 namespace magnoliatide::forward {
 
 namespace asio = boost::asio;
@@ -17,6 +19,8 @@
 namespace {
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+constexpr char kDeadlinePassed[] =
+  "the deadline passed while the request waited";
 
 /// Returns the name under which an unknown credential is logged, or empty if
 /// the refusal has another reason.
@@ -31,6 +35,31 @@
 
 } // namespace
 
+namespace {
+
+/// Keeps a request in a set during the lifetime of this object.
+class InProgress
+{
+public:
+  InProgress(std::set<RequestPointer>& aRequests, RequestPointer aRequest)
+    : mRequests(aRequests)
+    , mRequest(std::move(aRequest))
+  {
+    mRequests.insert(mRequest);
+  }
+
+  ~InProgress() { mRequests.erase(mRequest); }
+
+  InProgress(const InProgress&) = delete;
+  InProgress& operator=(const InProgress&) = delete;
+
+private:
+  std::set<RequestPointer>& mRequests;
+  RequestPointer mRequest;
+};
+
+} // namespace
+
 struct Forwarder::Core
 {
   explicit Core(ForwarderParams aParams)
@@ -48,12 +77,14 @@
   asio::awaitable<void> FailUnresolved(RequestPointer aRequest,
                                        std::string aWhy);
   void WatchForCancellation(const RequestPointer& aRequest);
-  void Cancel(Request& aRequest);
+  void Cancel(Request& aRequest, const char* aWhy);
+  void EndAll();
   void CountRequestEnd(const Request& aRequest, const char* aOutcome);
   void LogRefusal(const Request& aRequest, const Refusal& aRefusal) const;
 
   ForwarderParams params;
   std::uint64_t lastId = 0;
+  std::set<RequestPointer> requests; ///< In progress.
 };
 
 asio::awaitable<void>
@@ -69,6 +100,7 @@
     co_await Refuse(request, std::move(*refusal));
     co_return;
   }
+  const InProgress inProgress(requests, request);
   request->newJobId = [this] { return ++lastId; };
   request->job.id = request->newJobId();
   WatchForCancellation(request);
@@ -182,7 +214,7 @@
     }
   };
   if (aRequest->expired) {
-    Cancel(*aRequest);
+    Cancel(*aRequest, kDeadlinePassed);
   } else {
     aRequest->job.retryAllowed = aRequest->MayRetry(1);
     params.dispatcher->Submit(aRequest->job, std::move(onDecision));
@@ -193,8 +225,10 @@
 }
 
 /// Ends the step in progress after the caller left or the deadline passed.
+///
+/// @param aWhy The message to the caller if the request has not run.
 void
-Forwarder::Core::Cancel(Request& aRequest)
+Forwarder::Core::Cancel(Request& aRequest, const char* aWhy)
 {
   if (aRequest.ended) {
     return;
@@ -204,7 +238,7 @@
     params.dispatcher->Withdraw(aRequest.job.id);
     Decision decision;
     decision.refusal.kind = RefusalKind::kExpired;
-    decision.refusal.message = "the deadline passed while the request waited";
+    decision.refusal.message = aWhy;
     aRequest.mailbox.try_send(boost::system::error_code{}, std::move(decision));
     return;
   }
@@ -225,7 +259,7 @@
     const auto request = weak.lock();
     if (request) {
       request->callerDisconnected = true;
-      Cancel(*request);
+      Cancel(*request, kDeadlinePassed);
     }
   });
   aRequest->timer.expires_at(aRequest->job.deadline);
@@ -233,11 +267,21 @@
     const auto request = weak.lock();
     if (request && !aError) {
       request->expired = true;
-      Cancel(*request);
+      Cancel(*request, kDeadlinePassed);
     }
   });
 }
 
+void
+Forwarder::Core::EndAll()
+{
+  const auto all = requests;
+  for (const auto& request : all) {
+    request->expired = true;
+    Cancel(*request, "the VM stops and no server was free in time");
+  }
+}
+
 /// Writes the rest of the answer after a successful send.
 asio::awaitable<void>
 Forwarder::Core::FinishAnswer(RequestPointer aRequest)
@@ -320,4 +364,10 @@
   co_await mCore->Handle(aExchange);
 }
 
+void
+Forwarder::EndAll()
+{
+  mCore->EndAll();
+}
+
 } // namespace magnoliatide::forward
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -42,6 +42,10 @@
 /// process.
 constexpr Duration kStopMargin = Milliseconds(300);
 
+/// How much of kStopMargin the answers to the requests that are ended by the
+/// stop may take.
+constexpr Duration kLastAnswersTime = Milliseconds(150);
+
 /// How long a server's host may leave packets unacknowledged before the
 /// connection is closed.
 constexpr Duration kDeadPeerTimeout = Seconds(3);
@@ -463,6 +467,14 @@
     }
   }
 
+  /// Waits until the callers' connections have ended, or until aEnd.
+  void AwaitDrained(TimePoint aEnd) const
+  {
+    while (!mCallerServer->Drained() && Clock::now() < aEnd) {
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+  }
+
   void Drain()
   {
     const auto drainEnd = Clock::now() + mSettings.drainTime - kStopMargin;
@@ -471,8 +483,10 @@
     mCallerServer->CloseAfterResponses();
     std::this_thread::sleep_for(kDrainDelay);
     mCallerServer->Drain();
-    while (!mCallerServer->Drained() && Clock::now() < drainEnd) {
-      std::this_thread::sleep_for(Milliseconds(20));
+    AwaitDrained(drainEnd);
+    if (!mCallerServer->Drained()) {
+      asio::post(mLoop, [this] { mForwarder.EndAll(); });
+      AwaitDrained(drainEnd + kLastAnswersTime);
     }
     asio::post(mLoop,
                asio::use_future([this] { SendAll(mMembership.Leave()); }))
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -575,6 +575,36 @@
   EXPECT_TRUE(mFleet.Vms()[0].process.Wait(Seconds(8)));
 }
 
+// Guards against requests that wait for a server until the time of a planned
+// stop is over, and then get no answer.
+TEST_F(Platform, APlannedStopAnswersWhatStillWaits)
+{
+  auto slow = Engine("i-1");
+  slow.slots = 1;
+  slow.events = 700;
+  slow.eventInterval = Milliseconds(20);
+  mFleet.AddEngine(slow);
+  RouteConfig route;
+  route.timeoutMillis = 20000;
+  route.targetMillis = 20000;
+  mFleet.Publish({ route }, { TeamConfig() });
+  ASSERT_TRUE(mFleet.Start());
+  auto call = CallTo("/quotes/1");
+  call.deadlineMillis = 20000;
+  auto running = mFleet.StartCall(0, call);
+  ASSERT_TRUE(AwaitTrue([&] { return At(0).Runs().size() == 1; }));
+  call.path = "/quotes/2";
+  auto waiting = mFleet.StartCall(0, call);
+  std::this_thread::sleep_for(Milliseconds(200));
+  mFleet.Vms()[0].process.Signal(SIGTERM);
+  const auto result = waiting.Result();
+  EXPECT_EQ(result.status, CallStatus::kDone);
+  EXPECT_EQ(result.response.status, 503);
+  EXPECT_TRUE(mFleet.Vms()[0].process.Wait(Seconds(2)));
+  EXPECT_EQ(running.Result().status, CallStatus::kCut);
+  EXPECT_EQ(RunsOf(mFleet), 1u);
+}
+
 TEST_F(Platform, EveryRequestCanBeFollowedInTheLog)
 {
   StartWith(1);
