Answer requests whose handler fails

The server now answers with status 500, which does not promise that the request has not run, or resets an answer that has begun; the same holds for a handler that ends without a response, whose caller waited for ever. The text of the exception is logged as handler-failed. The forwarder releases the place at the server and waits for a write in progress before it passes the exception on; the writer of streams ends its stream. A fault in accepting one connection no longer ends the accepting of all.

--- a/include/magnoliatide/http/server.h
+++ b/include/magnoliatide/http/server.h
@@ -52,7 +52,9 @@
   virtual bool CallerDisconnected() const = 0;
 };
 
-/// Handles one request and responds through the exchange.
+/// Handles one request and responds through the exchange. If it throws or gives
+/// no response, the server responds with status 500, or aborts a response that
+/// has begun.
 using Handler = std::function<boost::asio::awaitable<void>(Exchange&)>;
 
 /// Limits on the size and duration of what callers send.
@@ -89,12 +91,12 @@
 {
   CloseCause cause = CloseCause::kCaller;
   std::string detail; ///< The text of the error, or empty.
-  /// Whether a request was read, wholly or in part, and got no complete
-  /// response. The members below describe this request.
+  /// Whether the last request was read, wholly or in part, and got no complete
+  /// response.
   bool requestDropped = false;
-  /// The request, or null if only a part of it was read.
+  /// The last request, or null if it was not read completely.
   const Request* request = nullptr;
-  Duration age{}; ///< Since its first byte was read.
+  Duration age{}; ///< Since the first byte of the last request.
 };
 
 struct ServerOptions
--- a/src/forward/event_writer.cpp
+++ b/src/forward/event_writer.cpp
@@ -1,6 +1,8 @@
 // Batched writing of events.
 #include "event_writer.h"
 
+#include "magnoliatide/telemetry/log.h"
+
 #include <boost/asio.hpp>
 
 namespace magnoliatide::forward {
@@ -75,7 +77,13 @@
   std::string batch;
   batch.swap(mPending);
   mLastWrite = Clock::now();
-  const bool open = co_await mExchange.WriteChunk(std::move(batch));
+  bool open = false;
+  try {
+    open = co_await mExchange.WriteChunk(std::move(batch));
+  } catch (const std::exception& error) {
+    // Settle() waits for the end of the write, and the stream ends as cut.
+    telemetry::LogError("write-fault", { { "detail", error.what() } });
+  }
   mOpen = mOpen && open;
   mWriting = false;
   mWriteDone.cancel();
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio.hpp>
 
+#include <exception>
 #include <set>
 
 namespace magnoliatide::forward {
@@ -71,6 +72,9 @@
   asio::awaitable<void> Serve(RequestPointer aRequest);
   asio::awaitable<SendEnd> RunSends(RequestPointer aRequest,
                                     Decision aDecision);
+  asio::awaitable<SendEnd> RunSender(
+    Sender& aSender,
+    asio::awaitable<SendEnd> (Sender::*aRun)());
   asio::awaitable<Decision> AwaitDecision(RequestPointer aRequest);
   asio::awaitable<void> Refuse(RequestPointer aRequest, Refusal aRefusal);
   asio::awaitable<void> FinishAnswer(RequestPointer aRequest);
@@ -104,12 +108,22 @@
   request->newJobId = [this] { return ++lastId; };
   request->job.id = request->newJobId();
   WatchForCancellation(request);
-  co_await Serve(request);
+  std::exception_ptr fault;
+  try {
+    co_await Serve(request);
+  } catch (...) {
+    fault = std::current_exception();
+    Cancel(*request, "a fault in the VM");
+  }
   request->ended = true;
   request->timer.cancel();
   if (request->writer) {
+    // A write in progress uses the exchange.
     co_await request->writer->Settle();
   }
+  if (fault) {
+    std::rethrow_exception(fault);
+  }
 }
 
 asio::awaitable<void>
@@ -168,7 +182,7 @@
 {
   auto sender =
     std::make_shared<Sender>(params, aRequest, aDecision, aRequest->job.id);
-  SendEnd end = co_await sender->Run();
+  SendEnd end = co_await RunSender(*sender, &Sender::Run);
   while (true) {
     RecordSendEnd(params, *aRequest, sender->Server().id, end);
     params.dispatcher->Finish(sender->JobId(), end.report);
@@ -180,7 +194,22 @@
     }
     aRequest->mayHaveRun = true;
     sender = std::move(end.successor);
-    end = co_await sender->Resume();
+    end = co_await RunSender(*sender, &Sender::Resume);
+  }
+}
+
+/// Runs a sender and, if it throws, releases its place at the server.
+asio::awaitable<SendEnd>
+Forwarder::Core::RunSender(Sender& aSender,
+                           asio::awaitable<SendEnd> (Sender::*aRun)())
+{
+  try {
+    co_return co_await (aSender.*aRun)();
+  } catch (...) {
+    policy::SendReport report;
+    report.result = policy::SendResult::kCancelled;
+    params.dispatcher->Finish(aSender.JobId(), report);
+    throw;
   }
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <exception>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -73,6 +74,40 @@
   std::atomic<bool> accepting{ true }; ///< Further connections may be added.
 };
 
+/// Returns the text of an exception; never empty.
+std::string
+TextOf(const std::exception_ptr& aException)
+{
+  std::string text;
+  try {
+    std::rethrow_exception(aException);
+  } catch (const std::exception& error) {
+    text = error.what();
+  } catch (...) {
+    text = "unknown exception";
+  }
+  return text.empty() ? "an exception without a text" : text;
+}
+
+/// Counts a request as in progress during the lifetime of this object.
+class InProgress
+{
+public:
+  explicit InProgress(ServerCounters& aCounters)
+    : mCounters(aCounters)
+  {
+    mCounters.inProgress.fetch_add(1);
+  }
+
+  ~InProgress() { mCounters.inProgress.fetch_sub(1); }
+
+  InProgress(const InProgress&) = delete;
+  InProgress& operator=(const InProgress&) = delete;
+
+private:
+  ServerCounters& mCounters;
+};
+
 class Connection
   : public Exchange
   , public std::enable_shared_from_this<Connection>
@@ -116,6 +151,16 @@
     }
   }
 
+  /// Reports an exception that has ended Run(), such as a lack of memory. No
+  /// response can be given then.
+  void Fail(const std::exception_ptr& aFault)
+  {
+    SetCause(CloseCause::kHandlerFailed, TextOf(aFault));
+    ReportEnd();
+    // Ends the watch for the caller, which refers to this object.
+    mStream.close();
+  }
+
   /// Ends the wait for a request, if the connection is idle, so that the wait
   /// sees that the server drains. Safe to call on any thread.
   void WakeIfIdle()
@@ -137,6 +182,7 @@
     FillHead(aResponse, message);
     message.body() = std::move(aResponse.body);
     message.prepare_payload();
+    mResponseStarted = true;
     mStream.expires_after(mShared->options.writeTimeout);
     const auto [error, bytes] =
       co_await bhttp::async_write(mStream, message, kNoThrow);
@@ -150,6 +196,7 @@
     FillHead(aHead, message);
     message.chunked(true);
     bhttp::response_serializer<bhttp::empty_body> serializer{ message };
+    mResponseStarted = true;
     mStream.expires_after(mShared->options.writeTimeout);
     const auto [error, bytes] =
       co_await bhttp::async_write_header(mStream, serializer, kNoThrow);
@@ -181,6 +228,7 @@
   void Abort() override
   {
     SetCause(CloseCause::kAborted);
+    mAborted = true;
     mKeepAlive = false;
     ErrorCode ignored;
     mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
@@ -259,10 +307,8 @@
     end.cause = mCause.value_or(CloseCause::kCaller);
     end.detail = mDetail;
     end.requestDropped = mRequestStarted && !mResponseComplete;
-    if (end.requestDropped) {
-      end.request = mRequestRead ? &mRequest : nullptr;
-      end.age = Clock::now() - mFirstByteAt;
-    }
+    end.request = mRequestRead ? &mRequest : nullptr;
+    end.age = Clock::now() - mFirstByteAt;
     mShared->options.onConnectionEnd(end);
   }
 
@@ -304,6 +350,7 @@
   {
     mRequestStarted = false;
     mRequestRead = false;
+    mResponseStarted = false;
     mResponseComplete = false;
     // Beast's own timeout would close the socket under bytes that have arrived.
     mStream.expires_never();
@@ -506,11 +553,22 @@
 
   asio::awaitable<void> Serve()
   {
+    const InProgress inProgress(mShared->counters);
     mServing = true;
-    mShared->counters.inProgress.fetch_add(1);
     mStream.expires_never();
-    co_await mShared->handler(*this);
-    mShared->counters.inProgress.fetch_sub(1);
+    std::exception_ptr thrown;
+    try {
+      co_await mShared->handler(*this);
+    } catch (...) {
+      thrown = std::current_exception();
+    }
+    std::string fault = thrown ? TextOf(thrown) : "";
+    if (!thrown && !mResponseComplete && !mCallerDisconnected && !mAborted) {
+      fault = "the handler gave no response";
+    }
+    if (!fault.empty()) {
+      co_await EndFailed(std::move(fault));
+    }
     mServing = false;
     mOnDisconnect = nullptr;
     if (mWatching && mStream.socket().is_open()) {
@@ -519,6 +577,27 @@
     }
   }
 
+  /// Ends a request whose handler failed. The request may have run, so that the
+  /// status promises nothing.
+  asio::awaitable<void> EndFailed(std::string aFault)
+  {
+    SetCause(CloseCause::kHandlerFailed, std::move(aFault));
+    mKeepAlive = false;
+    if (mCallerDisconnected || mAborted || mResponseComplete) {
+      co_return;
+    }
+    if (mResponseStarted) {
+      Abort();
+      co_return;
+    }
+    Response response = JsonResponse(
+      500,
+      R"({"error":{"outcome":"unknown","kind":"internal-error",)"
+      R"("remedy":"check whether the request ran before sending it again"}})");
+    response.headers.push_back({ "X-Outcome", "unknown" });
+    co_await Respond(std::move(response));
+  }
+
   beast::tcp_stream mStream;
   asio::steady_timer mReadTimer;
   /// Identifies the timer that is running; handlers of others do nothing.
@@ -530,6 +609,7 @@
   Request mRequest;
   std::function<void()> mOnDisconnect;
   bool mKeepAlive = true;
+  bool mAborted = false;
   bool mCallerDisconnected = false;
   bool mServing = false;
   bool mIdle = false;        ///< No byte of the next request has arrived.
@@ -544,18 +624,13 @@
   // These describe the request that is being read or served.
   bool mRequestStarted = false;   ///< Its first byte was read.
   bool mRequestRead = false;      ///< It was read completely.
+  bool mResponseStarted = false;  ///< A part of its response may be written.
   bool mResponseComplete = false; ///< Its response was written completely.
   TimePoint mFirstByteAt{};
   /// Whether a wait for readability is pending. There is at most one.
   bool mWatching = false;
 };
 
-asio::awaitable<void>
-RunConnection(std::shared_ptr<Connection> aConnection)
-{
-  co_await aConnection->Run();
-}
-
 /// Accepts connections. Shared with its coroutine, which may outlive the
 /// server.
 class Listener : public std::enable_shared_from_this<Listener>
@@ -582,7 +657,11 @@
         co_await WaitAfterError();
         continue;
       }
-      Start(std::move(socket));
+      try {
+        Start(std::move(socket));
+      } catch (const std::exception& error) {
+        ReportRefused(error.what());
+      }
     }
     if (mAcceptor.is_open()) {
       AcceptBacklog();
@@ -652,12 +731,7 @@
   {
     auto& counters = mShared->counters;
     if (counters.open.load() >= mShared->options.maxConnections) {
-      counters.refusedConnections.fetch_add(1);
-      if (mShared->options.onConnectionEnd) {
-        ConnectionEnd end;
-        end.cause = CloseCause::kLimit;
-        mShared->options.onConnectionEnd(end);
-      }
+      ReportRefused("");
       return;
     }
     counters.accepted.fetch_add(1);
@@ -665,7 +739,25 @@
     aSocket.set_option(tcp::no_delay(true), ignored);
     const auto executor = aSocket.get_executor();
     auto connection = std::make_shared<Connection>(std::move(aSocket), mShared);
-    asio::co_spawn(executor, RunConnection(connection), asio::detached);
+    asio::co_spawn(executor,
+                   connection->Run(),
+                   [connection](const std::exception_ptr& aFault) {
+                     if (aFault) {
+                       connection->Fail(aFault);
+                     }
+                   });
+  }
+
+  /// Counts a connection that is closed because it cannot be served.
+  void ReportRefused(const char* aDetail)
+  {
+    mShared->counters.refusedConnections.fetch_add(1);
+    if (mShared->options.onConnectionEnd) {
+      ConnectionEnd end;
+      end.cause = CloseCause::kLimit;
+      end.detail = aDetail;
+      mShared->options.onConnectionEnd(end);
+    }
   }
 
   Threads& mThreads;
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -519,5 +519,108 @@
   }
 }
 
+/// Requests whose handler fails.
+class FailedHandler : public HttpServer
+{
+protected:
+  void ExpectFinalAnswer(const char* aDetail)
+  {
+    Caller caller(mPort);
+    caller.Send(kGet);
+    const auto answer = caller.ReadAll();
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 500") << answer;
+    // Only these would promise that the request has not run.
+    EXPECT_EQ(answer.find("not-run"), std::string::npos) << answer;
+    const auto end = OnlyEnd();
+    EXPECT_STREQ(Name(end.cause), "handler-failed");
+    EXPECT_NE(end.detail.find(aDetail), std::string::npos) << end.detail;
+    EXPECT_FALSE(end.requestDropped);
+    EXPECT_TRUE(
+      AwaitTrue([&] { return mServer->Counters().open.load() == 0; }));
+    EXPECT_EQ(mServer->Counters().inProgress.load(), 0);
+  }
+};
+
+// Guards against exceptions that end a connection without an answer, a trace or
+// a right count of the requests in progress.
+TEST_F(FailedHandler, GivesAFinalAnswer)
+{
+  Start([](Exchange&) -> asio::awaitable<void> {
+    throw std::out_of_range("no such element");
+    co_return;
+  });
+  ExpectFinalAnswer("no such element");
+}
+
+// Guards against the same with what is no std::exception.
+TEST_F(FailedHandler, MayThrowAnything)
+{
+  Start([](Exchange&) -> asio::awaitable<void> {
+    throw 1;
+    co_return;
+  });
+  ExpectFinalAnswer("unknown exception");
+}
+
+// Guards against a response that cannot be written, such as one with a status
+// that allows no body.
+TEST_F(FailedHandler, IncludesAnInvalidResponse)
+{
+  Start([](Exchange& aExchange) -> asio::awaitable<void> {
+    Response response = TextResponse(204, "a body");
+    co_await aExchange.Respond(std::move(response));
+  });
+  ExpectFinalAnswer("invalid response body");
+}
+
+// Guards against a handler that forgets its response, so that the caller waits
+// for ever.
+TEST_F(FailedHandler, IncludesAMissingResponse)
+{
+  Start([](Exchange&) -> asio::awaitable<void> { co_return; });
+  ExpectFinalAnswer("no response");
+}
+
+// Guards against a stream that fails in the middle and looks complete, or stays
+// open.
+TEST_F(FailedHandler, ResetsAStream)
+{
+  Start([](Exchange& aExchange) -> asio::awaitable<void> {
+    Response head = TextResponse(200, "");
+    co_await aExchange.BeginStream(std::move(head));
+    co_await aExchange.WriteChunk("part");
+    throw std::runtime_error("failed midway");
+  });
+  Caller caller(mPort);
+  caller.Send(kGet);
+  const auto answer = caller.ReadAll();
+  EXPECT_EQ(answer.find("\r\n0\r\n"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("HTTP/1.1 500"), std::string::npos) << answer;
+  const auto end = OnlyEnd();
+  EXPECT_STREQ(Name(end.cause), "handler-failed");
+  EXPECT_EQ(end.detail, "failed midway");
+  EXPECT_TRUE(end.requestDropped);
+  EXPECT_EQ(mServer->Counters().inProgress.load(), 0);
+}
+
+// Guards against a failure that ends other requests or the server.
+TEST_F(FailedHandler, DoesNotConcernOtherRequests)
+{
+  Start([](Exchange& aExchange) -> asio::awaitable<void> {
+    if (aExchange.Incoming().target == "/bad") {
+      throw std::runtime_error("bad");
+    }
+    co_await Echo(aExchange);
+  });
+  for (int i = 0; i < 5; ++i) {
+    Caller bad(mPort);
+    Caller good(mPort);
+    bad.Send("GET /bad HTTP/1.1\r\nHost: h\r\n\r\n");
+    good.Send(kGet);
+    EXPECT_EQ(bad.ReadAll().substr(0, 12), "HTTP/1.1 500");
+    EXPECT_NE(good.ReadUntil("to /x").find("to /x"), std::string::npos);
+  }
+}
+
 } // namespace
 } // namespace magnoliatide::http
--- a/src/node/connection_record.cpp
+++ b/src/node/connection_record.cpp
@@ -12,6 +12,12 @@
 {
   const char* cause = http::Name(aEnd.cause);
   aMetrics.Count("caller_connections_closed_total", { { "cause", cause } });
+  if (aEnd.cause == http::CloseCause::kHandlerFailed) {
+    telemetry::LogError("handler-failed",
+                        { { "request", aRequestId },
+                          { "age_ms", aEnd.age },
+                          { "detail", aEnd.detail } });
+  }
   if (!aEnd.requestDropped) {
     return;
   }
--- a/src/node/connection_record.h
+++ b/src/node/connection_record.h
@@ -9,10 +9,10 @@
 
 namespace magnoliatide::node {
 
-/// Counts the end of a caller's connection and logs a request that was dropped
-/// with it.
+/// Counts the end of a caller's connection, and logs a request that was dropped
+/// with it or whose handler failed.
 ///
-/// @param aRequestId The id of the dropped request, or empty if it is unknown.
+/// @param aRequestId The id of the last request, or empty if it is unknown.
 void
 RecordConnectionEnd(telemetry::Metrics& aMetrics,
                     const http::ConnectionEnd& aEnd,
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -605,6 +605,31 @@
   EXPECT_EQ(RunsOf(mFleet), 1u);
 }
 
+// Guards against a request that the client for servers cannot send: its caller
+// got no answer, and its place at the server stayed taken.
+TEST_F(Platform, ARequestThatCannotBeSentIsAnswered)
+{
+  auto orders = Orders("o-1");
+  orders.slots = 1;
+  orders.queue = 0;
+  mFleet.AddEngine(orders);
+  mFleet.PublishDefaultRoutes();
+  ASSERT_TRUE(mFleet.Start());
+  for (int i = 0; i < 4; ++i) {
+    const auto answer =
+      mFleet.SendRaw(0,
+                     "TRACE /deposits/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                     "Attempt-Id: 00000000000000ae\r\nDeadline-Ms: 5000\r\n"
+                     "Authorization: Token key-of-planners\r\n"
+                     "Content-Length: 4\r\n\r\nabcd",
+                     Seconds(2));
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 500") << answer;
+  }
+  EXPECT_NE(mFleet.Log(0).find("event=handler-failed request=00000000000000ae"),
+            std::string::npos);
+  EXPECT_EQ(mFleet.Call(0, CallTo("/deposits/2")).response.status, 200);
+}
+
 TEST_F(Platform, EveryRequestCanBeFollowedInTheLog)
 {
   StartWith(1);
