Apply the limits that hold when a request arrives

Callers with kept connections were refused by limits of an older configuration: a connection read the limits when it became idle, so that a request sent long after a change was still held to the old sizes (HoldForIdleConnections, 431 before), as was the rest of a body (AllowMoreOfABodyInProgress). A connection was also closed before the idle timeout that its last answer had promised, if a shorter one came with a configuration right after the answer (KeepTheIdleTimeoutThatTheCallerKnows, closed before). The limits are now read again for each part, and the higher ones apply. DoNotRefuseARequestInProgress passed before: lower limits did not concern a request in progress.

--- a/include/magnoliatide/http/server.h
+++ b/include/magnoliatide/http/server.h
@@ -105,7 +105,9 @@
   /// Called when a connection has ended, on its thread. May be empty. Must not
   /// throw.
   std::function<void(const ConnectionEnd&)> onConnectionEnd;
-  /// Called before each request is read, on the thread of its connection.
+  /// Called when the wait for a request begins and for each part that is read,
+  /// on the thread of its connection. If the limits change meanwhile, the
+  /// higher ones apply to this request.
   std::function<ServerLimits()> limits = [] { return ServerLimits(); };
   Duration writeTimeout = Seconds(20); ///< How long each write may take.
   int maxConnections = 20000; ///< Further connections are closed at once.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -262,6 +262,7 @@
     mKeepAlive = mKeepAlive && (!mShared->closing.load() || HasInput());
     aMessage.keep_alive(mKeepAlive);
     if (mKeepAlive && mShared->options.advertiseIdleTimeout) {
+      mPromisedIdle = mLimits.idleTimeout;
       const auto seconds =
         std::chrono::duration_cast<Seconds>(mLimits.idleTimeout).count();
       aMessage.set(bhttp::field::keep_alive,
@@ -356,8 +357,6 @@
     mStream.expires_never();
     mLimits = mShared->options.limits();
     mParser.emplace();
-    mParser->header_limit(static_cast<std::uint32_t>(mLimits.headerBytes));
-    mParser->body_limit(mLimits.bodyBytes);
     if (mBuffer.size() == 0 && !co_await WaitForBytes()) {
       co_return false;
     }
@@ -389,6 +388,7 @@
   /// request is needed.
   ErrorCode ParseBuffer()
   {
+    RaiseLimits();
     while (mBuffer.size() > 0 && !mParser->is_done()) {
       ErrorCode error;
       const auto used = mParser->put(mBuffer.data(), error);
@@ -403,6 +403,19 @@
     return {};
   }
 
+  /// Raises the limits to the current ones. A request that was sent within the
+  /// limits at any time since the connection became idle is accepted.
+  void RaiseLimits()
+  {
+    const auto now = mShared->options.limits();
+    mLimits.headerBytes = std::max(mLimits.headerBytes, now.headerBytes);
+    mLimits.bodyBytes = std::max(mLimits.bodyBytes, now.bodyBytes);
+    mLimits.headerTimeout = std::max(mLimits.headerTimeout, now.headerTimeout);
+    mParser->header_limit(static_cast<std::uint32_t>(mLimits.headerBytes));
+    // Beast counts down from the limit.
+    mParser->body_limit(mLimits.bodyBytes - mParser->get().body().size());
+  }
+
   /// Reads a further part of a request. The read is a single operation: it
   /// either is cancelled or has bytes, so that the timer cannot cancel a part
   /// that has arrived.
@@ -462,7 +475,8 @@
   /// bytes that have arrived are not lost.
   asio::awaitable<bool> WaitForBytes()
   {
-    const TimePoint idleEnd = Clock::now() + mLimits.idleTimeout + kIdleGrace;
+    const TimePoint idleEnd =
+      Clock::now() + std::max(mLimits.idleTimeout, mPromisedIdle) + kIdleGrace;
     const TimePoint drainEnd =
       mFirstRequest ? mOpenedAt + kFirstRequestGrace : TimePoint();
     mIdle = true;
@@ -618,7 +632,8 @@
   /// Whether input is discarded before the connection is closed, because the
   /// caller may still be sending a request.
   bool mLinger = false;
-  ServerLimits mLimits;
+  ServerLimits mLimits;     ///< Of the request that is being read.
+  Duration mPromisedIdle{}; ///< The idle timeout that the caller was told last.
   std::optional<CloseCause> mCause; ///< Why the connection ends.
   std::string mDetail;              ///< The error that belongs to mCause.
   // These describe the request that is being read or served.
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -622,5 +622,125 @@
   }
 }
 
+/// A server whose limits change while a connection is open.
+class ChangedLimits : public HttpServer
+{
+protected:
+  /// Starts the server and sends a request on a connection that stays open.
+  void StartWithCaller()
+  {
+    ServerOptions options;
+    options.advertiseIdleTimeout = true;
+    options.limits = [this] {
+      std::lock_guard<std::mutex> lock(mLimitsMutex);
+      return mLimits;
+    };
+    Start(Echo, options);
+    mCaller = std::make_unique<Caller>(mPort);
+    mCaller->Send(kGet);
+    EXPECT_NE(mCaller->ReadUntil("to /x").find("to /x"), std::string::npos);
+    // The server waits for the next request.
+    std::this_thread::sleep_for(Milliseconds(20));
+  }
+
+  void SetLimits(const std::function<void(ServerLimits&)>& aChange)
+  {
+    std::lock_guard<std::mutex> lock(mLimitsMutex);
+    aChange(mLimits);
+  }
+
+  static std::string Post(std::size_t aBytes)
+  {
+    return "POST /y HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(aBytes) + "\r\n\r\n";
+  }
+
+  void ExpectAnswer()
+  {
+    const auto answer = mCaller->ReadUntil("to /y");
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200") << answer;
+  }
+
+  std::unique_ptr<Caller> mCaller;
+  std::mutex mLimitsMutex;
+  ServerLimits mLimits; ///< Guarded by mLimitsMutex.
+};
+
+// Guards against requests that are refused by limits that no longer hold,
+// because the connection has been idle since before the change.
+TEST_F(ChangedLimits, HoldForIdleConnections)
+{
+  mLimits.bodyBytes = 10;
+  mLimits.headerBytes = 200;
+  StartWithCaller();
+  SetLimits([](auto& aLimits) {
+    aLimits.bodyBytes = 100;
+    aLimits.headerBytes = 1000;
+  });
+  mCaller->Send(
+    "POST /y HTTP/1.1\r\nHost: h\r\nX-Wide: " + std::string(500, 'w') +
+    "\r\nContent-Length: 50\r\n\r\n" + std::string(50, 'b'));
+  ExpectAnswer();
+}
+
+// Guards against requests that are refused by new limits although they were
+// sent under the old ones.
+TEST_F(ChangedLimits, DoNotRefuseARequestInProgress)
+{
+  mLimits.bodyBytes = 100;
+  mLimits.headerTimeout = Seconds(2);
+  StartWithCaller();
+  mCaller->Send(Post(50) + "b");
+  std::this_thread::sleep_for(Milliseconds(20));
+  SetLimits([](auto& aLimits) {
+    aLimits.bodyBytes = 10;
+    aLimits.headerTimeout = Milliseconds(10);
+  });
+  mCaller->Send("b");
+  std::this_thread::sleep_for(Milliseconds(100));
+  mCaller->Send(std::string(48, 'b'));
+  ExpectAnswer();
+}
+
+// Guards against a body that is refused by the limits at its beginning although
+// new limits allow it.
+TEST_F(ChangedLimits, AllowMoreOfABodyInProgress)
+{
+  mLimits.bodyBytes = 10;
+  StartWithCaller();
+  mCaller->Send("POST /y HTTP/1.1\r\nHost: h\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n8\r\nbbbbbbbb\r\n");
+  std::this_thread::sleep_for(Milliseconds(20));
+  SetLimits([](auto& aLimits) { aLimits.bodyBytes = 100; });
+  mCaller->Send("8\r\nbbbbbbbb\r\n0\r\n\r\n");
+  ExpectAnswer();
+}
+
+// Guards against a connection that is closed before the idle timeout which its
+// caller was told has passed.
+TEST_F(ChangedLimits, KeepTheIdleTimeoutThatTheCallerKnows)
+{
+  mLimits.idleTimeout = Seconds(4);
+  ServerOptions options;
+  options.advertiseIdleTimeout = true;
+  options.limits = [this] {
+    std::lock_guard<std::mutex> lock(mLimitsMutex);
+    return mLimits;
+  };
+  // The limits change after the answer with the old timeout.
+  Start(
+    [this](Exchange& aExchange) -> asio::awaitable<void> {
+      co_await Echo(aExchange);
+      SetLimits([](auto& aLimits) { aLimits.idleTimeout = Milliseconds(10); });
+    },
+    options);
+  mCaller = std::make_unique<Caller>(mPort);
+  mCaller->Send(kGet);
+  EXPECT_NE(mCaller->ReadUntil("to /x").find("timeout=4"), std::string::npos);
+  std::this_thread::sleep_for(Milliseconds(1500));
+  mCaller->Send(kGetY);
+  ExpectAnswer();
+}
+
 } // namespace
 } // namespace magnoliatide::http
