--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -447,6 +447,41 @@
   EXPECT_TRUE(AwaitTrue([&] { return mServer->Drained(); }));
 }
 
+// Guards against requests that the handler has been given, and that get no
+// answer because the server stops at any moment of their exchange.
+TEST_F(Stop, EveryRequestThatIsHandledIsAnswered)
+{
+  for (int round = 0; round < 20; ++round) {
+    std::atomic<int> handled{ 0 };
+    std::atomic<int> answered{ 0 };
+    Start([&](Exchange& aExchange) -> asio::awaitable<void> {
+      handled.fetch_add(1);
+      co_await Echo(aExchange);
+    });
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 8; ++i) {
+      callers.emplace_back([&] {
+        Caller caller(mPort);
+        std::string answer = "to /x";
+        while (answer.find("to /x") != std::string::npos) {
+          caller.Send(kGet);
+          answer = caller.ReadUntil("to /x");
+          answered.fetch_add(answer.find("to /x") != std::string::npos ? 1 : 0);
+        }
+      });
+    }
+    std::this_thread::sleep_for(Milliseconds(20 + round));
+    mServer->Drain();
+    for (auto& caller : callers) {
+      caller.join();
+    }
+    EXPECT_TRUE(AwaitTrue([&] { return mServer->Drained(); }));
+    EXPECT_GT(handled.load(), 0);
+    EXPECT_EQ(answered.load(), handled.load()) << "round " << round;
+    mServer.reset();
+  }
+}
+
 /// A request that follows an answer which promised to keep the connection, and
 /// comes while the server starts to stop.
 class RequestAfterAKeepingAnswer : public Stop
