Give no body in answers to HEAD requests

A body followed the headers of an answer to HEAD; its caller took it for the beginning of the next answer on the connection, so that the next request got no valid answer. Evidence: AnAnswerToHeadHasNoBody failed before for a whole answer and for a stream. The server now writes the headers only.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <stdexcept>
+#include <tuple>
 
 namespace magnoliatide::http {
 
@@ -184,9 +185,15 @@
     message.prepare_payload();
     mResponseStarted = true;
     mStream.expires_after(mShared->options.writeTimeout);
-    const auto [error, bytes] =
-      co_await bhttp::async_write(mStream, message, kNoThrow);
-    static_cast<void>(bytes);
+    ErrorCode error;
+    if (IsHeadRequest()) {
+      bhttp::response_serializer<bhttp::string_body> serializer{ message };
+      std::tie(error, std::ignore) =
+        co_await bhttp::async_write_header(mStream, serializer, kNoThrow);
+    } else {
+      std::tie(error, std::ignore) =
+        co_await bhttp::async_write(mStream, message, kNoThrow);
+    }
     mResponseComplete = RecordWrite(error);
   }
 
@@ -206,8 +213,8 @@
 
   asio::awaitable<bool> WriteChunk(std::string aChunk) override
   {
-    if (mCallerDisconnected) {
-      co_return false;
+    if (mCallerDisconnected || IsHeadRequest()) {
+      co_return !mCallerDisconnected;
     }
     mStream.expires_after(mShared->options.writeTimeout);
     const auto [error, bytes] = co_await asio::async_write(
@@ -218,6 +225,10 @@
 
   asio::awaitable<void> EndStream() override
   {
+    if (IsHeadRequest()) {
+      mResponseComplete = !mCallerDisconnected;
+      co_return;
+    }
     mStream.expires_after(mShared->options.writeTimeout);
     const auto [error, bytes] =
       co_await asio::async_write(mStream, bhttp::make_chunk_last(), kNoThrow);
@@ -270,6 +281,12 @@
     }
   }
 
+  /// Returns whether the request is a HEAD request, whose response has no body.
+  bool IsHeadRequest() const
+  {
+    return mRequestRead && mRequest.method == "HEAD";
+  }
+
   /// Returns whether bytes of a further request have arrived.
   bool HasInput()
   {
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -777,5 +777,38 @@
   ExpectAnswer();
 }
 
+/// Answers, in two chunks if the target is /chunks.
+asio::awaitable<void>
+AnswerWholeOrInChunks(Exchange& aExchange)
+{
+  Response response = TextResponse(200, "to " + aExchange.Incoming().target);
+  if (aExchange.Incoming().target != "/chunks") {
+    co_await aExchange.Respond(std::move(response));
+    co_return;
+  }
+  response.body.clear();
+  co_await aExchange.BeginStream(std::move(response));
+  co_await aExchange.WriteChunk("to ");
+  co_await aExchange.WriteChunk("/chunks");
+  co_await aExchange.EndStream();
+}
+
+// Guards against a body after the headers of an answer to HEAD, which the
+// caller takes for the beginning of the next answer, and so loses that one.
+TEST_F(HttpServer, AnAnswerToHeadHasNoBody)
+{
+  Start(AnswerWholeOrInChunks);
+  for (const std::string target : { "/x", "/chunks" }) {
+    Caller caller(mPort);
+    caller.Send("HEAD " + target + " HTTP/1.1\r\nHost: h\r\n\r\n" + kGetY);
+    const auto answers = caller.ReadUntil("to /y");
+    EXPECT_EQ(answers.substr(0, 12), "HTTP/1.1 200") << answers;
+    const auto end = answers.find("\r\n\r\n");
+    ASSERT_NE(end, std::string::npos) << answers;
+    EXPECT_EQ(answers.substr(end + 4, 12), "HTTP/1.1 200") << answers;
+    EXPECT_NE(answers.find("to /y"), std::string::npos) << answers;
+  }
+}
+
 } // namespace
 } // namespace magnoliatide::http
