--- a/include/magnoliatide/http/server.h
+++ b/include/magnoliatide/http/server.h
@@ -52,7 +52,9 @@
   virtual bool CallerDisconnected() const = 0;
 };
 
-/// Handles one request and responds through the exchange.
+/// Handles one request and responds through the exchange. If it throws or gives
+/// no response, the server responds with status 500, or aborts a response that
+/// has begun.
 using Handler = std::function<boost::asio::awaitable<void>(Exchange&)>;
 
 /// Limits on the size and duration of what callers send.
@@ -65,10 +67,47 @@
   Duration idleTimeout = Seconds(60); ///< How long to wait for a request.
 };
 
+/// Why a connection was closed.
+enum class CloseCause
+{
+  kAnswered,      ///< After a response, as either side had asked for.
+  kCaller,        ///< The caller closed it, or the connection failed.
+  kIdle,          ///< No request arrived within the idle timeout.
+  kDrain,         ///< The server stops.
+  kReadTimeout,   ///< A request arrived too slowly.
+  kMalformed,     ///< A request was invalid or too large.
+  kWriteFailed,   ///< A response could not be written.
+  kHandlerFailed, ///< The handler failed.
+  kAborted,       ///< The handler aborted a response.
+  kLimit,         ///< Too many connections were open.
+};
+
+/// Returns the name of a cause for metrics and logs.
+const char*
+Name(CloseCause aCause);
+
+/// How a connection ended.
+struct ConnectionEnd
+{
+  CloseCause cause = CloseCause::kCaller;
+  std::string detail; ///< The text of the error, or empty.
+  /// Whether the last request was read, wholly or in part, and got no complete
+  /// response.
+  bool requestDropped = false;
+  /// The last request, or null if it was not read completely.
+  const Request* request = nullptr;
+  Duration age{}; ///< Since the first byte of the last request.
+};
+
 struct ServerOptions
 {
   document::Endpoint address;
-  /// Called before each request is read, on the thread of its connection.
+  /// Called when a connection has ended, on its thread. May be empty. Must not
+  /// throw.
+  std::function<void(const ConnectionEnd&)> onConnectionEnd;
+  /// Called when the wait for a request begins and for each part that is read,
+  /// on the thread of its connection. If the limits change meanwhile, the
+  /// higher ones apply to this request.
   std::function<ServerLimits()> limits = [] { return ServerLimits(); };
   Duration writeTimeout = Seconds(20); ///< How long each write may take.
   int maxConnections = 20000; ///< Further connections are closed at once.
@@ -94,14 +133,18 @@
 public:
   virtual ~Server() = default;
 
-  /// Closes each connection after its next response. New connections are still
-  /// accepted.
+  /// Closes each connection after its next response, unless a further request
+  /// has already arrived. New connections are still accepted.
   virtual void CloseAfterResponses() = 0;
 
-  /// Stops accepting connections, and closes idle connections at once and the
-  /// others after the request in progress.
+  /// Stops accepting connections, after those that already wait to be accepted.
+  /// Closes idle connections at once, new ones if no request arrives soon, and
+  /// the others after the requests that have arrived.
   virtual void Drain() = 0;
 
+  /// Returns whether Drain() was called and all connections have ended.
+  virtual bool Drained() const = 0;
+
   virtual const ServerCounters& Counters() const = 0;
 };
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -10,6 +10,9 @@
 
 #include <boost/asio.hpp>
 
+#include <exception>
+#include <set>
+
 namespace magnoliatide::forward {
 
 namespace asio = boost::asio;
@@ -17,6 +20,8 @@
 namespace {
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+constexpr char kDeadlinePassed[] =
+  "the deadline passed while the request waited";
 
 /// Returns the name under which an unknown credential is logged, or empty if
 /// the refusal has another reason.
@@ -41,6 +46,31 @@
 
 } // namespace
 
+namespace {
+
+/// Keeps a request in a set during the lifetime of this object.
+class InProgress
+{
+public:
+  InProgress(std::set<RequestPointer>& aRequests, RequestPointer aRequest)
+    : mRequests(aRequests)
+    , mRequest(std::move(aRequest))
+  {
+    mRequests.insert(mRequest);
+  }
+
+  ~InProgress() { mRequests.erase(mRequest); }
+
+  InProgress(const InProgress&) = delete;
+  InProgress& operator=(const InProgress&) = delete;
+
+private:
+  std::set<RequestPointer>& mRequests;
+  RequestPointer mRequest;
+};
+
+} // namespace
+
 struct Forwarder::Core
 {
   explicit Core(ForwarderParams aParams)
@@ -52,18 +82,23 @@
   asio::awaitable<void> Serve(RequestPointer aRequest);
   asio::awaitable<SendEnd> RunSends(RequestPointer aRequest,
                                     Decision aDecision);
+  asio::awaitable<SendEnd> RunSender(
+    Sender& aSender,
+    asio::awaitable<SendEnd> (Sender::*aRun)());
   asio::awaitable<Decision> AwaitDecision(RequestPointer aRequest);
   asio::awaitable<void> Refuse(RequestPointer aRequest, Refusal aRefusal);
   asio::awaitable<void> FinishAnswer(RequestPointer aRequest);
   asio::awaitable<void> FailUnresolved(RequestPointer aRequest,
                                        std::string aWhy);
   void WatchForCancellation(const RequestPointer& aRequest);
-  void Cancel(Request& aRequest);
+  void Cancel(Request& aRequest, const char* aWhy);
+  void EndAll();
   void CountRequestEnd(const Request& aRequest, const char* aOutcome);
   void LogRefusal(const Request& aRequest, const Refusal& aRefusal) const;
 
   ForwarderParams params;
   std::uint64_t lastId = 0;
+  std::set<RequestPointer> requests; ///< In progress.
 };
 
 asio::awaitable<void>
@@ -79,15 +114,26 @@
     co_await Refuse(request, std::move(*refusal));
     co_return;
   }
+  const InProgress inProgress(requests, request);
   request->newJobId = [this] { return ++lastId; };
   request->job.id = request->newJobId();
   WatchForCancellation(request);
-  co_await Serve(request);
+  std::exception_ptr fault;
+  try {
+    co_await Serve(request);
+  } catch (...) {
+    fault = std::current_exception();
+    Cancel(*request, "a fault in the VM");
+  }
   request->ended = true;
   request->timer.cancel();
   if (request->writer) {
+    // A write in progress uses the exchange.
     co_await request->writer->Settle();
   }
+  if (fault) {
+    std::rethrow_exception(fault);
+  }
 }
 
 asio::awaitable<void>
@@ -146,7 +192,7 @@
 {
   auto sender =
     std::make_shared<Sender>(params, aRequest, aDecision, aRequest->job.id);
-  SendEnd end = co_await sender->Run();
+  SendEnd end = co_await RunSender(*sender, &Sender::Run);
   while (true) {
     RecordSendEnd(params, *aRequest, sender->Server().id, end);
     if (end.successor) {
@@ -162,7 +208,22 @@
     }
     aRequest->mayHaveRun = true;
     sender = std::move(end.successor);
-    end = co_await sender->Resume();
+    end = co_await RunSender(*sender, &Sender::Resume);
+  }
+}
+
+/// Runs a sender and, if it throws, releases its place at the server.
+asio::awaitable<SendEnd>
+Forwarder::Core::RunSender(Sender& aSender,
+                           asio::awaitable<SendEnd> (Sender::*aRun)())
+{
+  try {
+    co_return co_await (aSender.*aRun)();
+  } catch (...) {
+    policy::SendReport report;
+    report.result = policy::SendResult::kCancelled;
+    params.dispatcher->Finish(aSender.JobId(), report);
+    throw;
   }
 }
 
@@ -196,7 +257,7 @@
     }
   };
   if (aRequest->expired) {
-    Cancel(*aRequest);
+    Cancel(*aRequest, kDeadlinePassed);
   } else {
     auto job = aRequest->job;
     job.retryAllowed = aRequest->MayRetry(1);
@@ -212,8 +273,10 @@
 }
 
 /// Ends the step in progress after the caller left or the deadline passed.
+///
+/// @param aWhy The message to the caller if the request has not run.
 void
-Forwarder::Core::Cancel(Request& aRequest)
+Forwarder::Core::Cancel(Request& aRequest, const char* aWhy)
 {
   if (aRequest.ended) {
     return;
@@ -223,7 +286,7 @@
     params.dispatcher->Withdraw(aRequest.job.id);
     Decision decision;
     decision.refusal.kind = RefusalKind::kExpired;
-    decision.refusal.message = "the deadline passed while the request waited";
+    decision.refusal.message = aWhy;
     aRequest.mailbox.try_send(boost::system::error_code{}, std::move(decision));
     return;
   }
@@ -244,7 +307,7 @@
     const auto request = weak.lock();
     if (request) {
       request->callerDisconnected = true;
-      Cancel(*request);
+      Cancel(*request, kDeadlinePassed);
     }
   });
   aRequest->timer.expires_at(aRequest->job.deadline);
@@ -252,11 +315,21 @@
     const auto request = weak.lock();
     if (request && !aError) {
       request->expired = true;
-      Cancel(*request);
+      Cancel(*request, kDeadlinePassed);
     }
   });
 }
 
+void
+Forwarder::Core::EndAll()
+{
+  const auto all = requests;
+  for (const auto& request : all) {
+    request->expired = true;
+    Cancel(*request, "the VM stops and no server was free in time");
+  }
+}
+
 /// Writes the rest of the answer after a successful send.
 asio::awaitable<void>
 Forwarder::Core::FinishAnswer(RequestPointer aRequest)
@@ -340,4 +413,10 @@
   co_await mCore->Handle(aExchange);
 }
 
+void
+Forwarder::EndAll()
+{
+  mCore->EndAll();
+}
+
 } // namespace magnoliatide::forward
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -7,6 +7,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <exception>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -29,6 +31,10 @@
 /// a request in transit at that moment is still served.
 constexpr Duration kIdleGrace = Seconds(1);
 
+/// How long a new connection stays open for its first request while the server
+/// drains.
+constexpr Duration kFirstRequestGrace = Seconds(1);
+
 /// How long the rest of a refused request is read and discarded, so that the
 /// caller can read the response before the connection is closed.
 constexpr Duration kLingerTime = Seconds(2);
@@ -36,6 +42,9 @@
 /// Size of the buffer for one read of an idle or lingering connection.
 constexpr std::size_t kReadBufferBytes = 4096;
 
+/// Maximum size of one read of a request.
+constexpr std::size_t kMaxReadBytes = 65536;
+
 Request
 FromBeast(bhttp::request<bhttp::string_body>&& aMessage)
 {
@@ -63,6 +72,41 @@
   ServerCounters counters;
   std::atomic<bool> closing{ false };  ///< Connections close after a response.
   std::atomic<bool> draining{ false }; ///< Idle connections close as well.
+  std::atomic<bool> accepting{ true }; ///< Further connections may be added.
+};
+
+/// Returns the text of an exception; never empty.
+std::string
+TextOf(const std::exception_ptr& aException)
+{
+  std::string text;
+  try {
+    std::rethrow_exception(aException);
+  } catch (const std::exception& error) {
+    text = error.what();
+  } catch (...) {
+    text = "unknown exception";
+  }
+  return text.empty() ? "an exception without a text" : text;
+}
+
+/// Counts a request as in progress during the lifetime of this object.
+class InProgress
+{
+public:
+  explicit InProgress(ServerCounters& aCounters)
+    : mCounters(aCounters)
+  {
+    mCounters.inProgress.fetch_add(1);
+  }
+
+  ~InProgress() { mCounters.inProgress.fetch_sub(1); }
+
+  InProgress(const InProgress&) = delete;
+  InProgress& operator=(const InProgress&) = delete;
+
+private:
+  ServerCounters& mCounters;
 };
 
 class Connection
@@ -92,10 +136,15 @@
     const auto self = shared_from_this();
     while (co_await ReadRequest()) {
       co_await Serve();
-      if (!mKeepAlive || mShared->closing.load()) {
+      // The last response has promised to keep the connection, or not. The stop
+      // of the server does not change that.
+      if (!mKeepAlive) {
+        SetCause(mCallerDisconnected ? CloseCause::kCaller
+                                     : CloseCause::kAnswered);
         break;
       }
     }
+    ReportEnd();
     ErrorCode ignored;
     mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     if (mLinger) {
@@ -103,14 +152,25 @@
     }
   }
 
-  /// Closes the connection if no byte of a request has arrived. Safe to call on
-  /// any thread.
-  void CloseIfIdle()
+  /// Reports an exception that has ended Run(), such as a lack of memory. No
+  /// response can be given then.
+  void Fail(const std::exception_ptr& aFault)
+  {
+    SetCause(CloseCause::kHandlerFailed, TextOf(aFault));
+    ReportEnd();
+    // Ends the watch for the caller, which refers to this object.
+    mStream.close();
+  }
+
+  /// Ends the wait for a request, if the connection is idle, so that the wait
+  /// sees that the server drains. Safe to call on any thread.
+  void WakeIfIdle()
   {
     asio::post(mStream.get_executor(), [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self && self->mIdle) {
-        self->mStream.close();
+        ErrorCode ignored;
+        self->mStream.socket().cancel(ignored);
       }
     });
   }
@@ -123,11 +183,18 @@
     FillHead(aResponse, message);
     message.body() = std::move(aResponse.body);
     message.prepare_payload();
+    mResponseStarted = true;
     mStream.expires_after(mShared->options.writeTimeout);
-    const auto [error, bytes] =
-      co_await bhttp::async_write(mStream, message, kNoThrow);
-    static_cast<void>(bytes);
-    RecordWrite(error);
+    ErrorCode error;
+    if (IsHeadRequest()) {
+      bhttp::response_serializer<bhttp::string_body> serializer{ message };
+      std::tie(error, std::ignore) =
+        co_await bhttp::async_write_header(mStream, serializer, kNoThrow);
+    } else {
+      std::tie(error, std::ignore) =
+        co_await bhttp::async_write(mStream, message, kNoThrow);
+    }
+    mResponseComplete = RecordWrite(error);
   }
 
   asio::awaitable<bool> BeginStream(Response aHead) override
@@ -136,6 +203,7 @@
     FillHead(aHead, message);
     message.chunked(true);
     bhttp::response_serializer<bhttp::empty_body> serializer{ message };
+    mResponseStarted = true;
     mStream.expires_after(mShared->options.writeTimeout);
     const auto [error, bytes] =
       co_await bhttp::async_write_header(mStream, serializer, kNoThrow);
@@ -145,8 +213,8 @@
 
   asio::awaitable<bool> WriteChunk(std::string aChunk) override
   {
-    if (mCallerDisconnected) {
-      co_return false;
+    if (mCallerDisconnected || IsHeadRequest()) {
+      co_return !mCallerDisconnected;
     }
     mStream.expires_after(mShared->options.writeTimeout);
     const auto [error, bytes] = co_await asio::async_write(
@@ -157,15 +225,21 @@
 
   asio::awaitable<void> EndStream() override
   {
+    if (IsHeadRequest()) {
+      mResponseComplete = !mCallerDisconnected;
+      co_return;
+    }
     mStream.expires_after(mShared->options.writeTimeout);
     const auto [error, bytes] =
       co_await asio::async_write(mStream, bhttp::make_chunk_last(), kNoThrow);
     static_cast<void>(bytes);
-    RecordWrite(error);
+    mResponseComplete = RecordWrite(error);
   }
 
   void Abort() override
   {
+    SetCause(CloseCause::kAborted);
+    mAborted = true;
     mKeepAlive = false;
     ErrorCode ignored;
     mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
@@ -196,9 +270,10 @@
     for (const auto& header : aResponse.headers) {
       aMessage.insert(header.name, header.value);
     }
-    mKeepAlive = mKeepAlive && !mShared->closing.load();
+    mKeepAlive = mKeepAlive && (!mShared->closing.load() || HasInput());
     aMessage.keep_alive(mKeepAlive);
     if (mKeepAlive && mShared->options.advertiseIdleTimeout) {
+      mPromisedIdle = mLimits.idleTimeout;
       const auto seconds =
         std::chrono::duration_cast<Seconds>(mLimits.idleTimeout).count();
       aMessage.set(bhttp::field::keep_alive,
@@ -206,11 +281,25 @@
     }
   }
 
+  /// Returns whether the request is a HEAD request, whose response has no body.
+  bool IsHeadRequest() const
+  {
+    return mRequestRead && mRequest.method == "HEAD";
+  }
+
+  /// Returns whether bytes of a further request have arrived.
+  bool HasInput()
+  {
+    ErrorCode error;
+    return mBuffer.size() > 0 || mStream.socket().available(error) > 0;
+  }
+
   /// Records that the caller has disconnected if a write failed. Returns
   /// whether the write succeeded.
   bool RecordWrite(const ErrorCode& aError)
   {
     if (aError) {
+      SetCause(CloseCause::kWriteFailed, aError.message());
       mKeepAlive = false;
       mCallerDisconnected = true;
       NotifyDisconnect();
@@ -218,6 +307,29 @@
     return !aError;
   }
 
+  /// Sets why the connection ends; the first cause stays.
+  void SetCause(CloseCause aCause, std::string aDetail = {})
+  {
+    if (!mCause) {
+      mCause = aCause;
+      mDetail = std::move(aDetail);
+    }
+  }
+
+  void ReportEnd() const
+  {
+    if (!mShared->options.onConnectionEnd) {
+      return;
+    }
+    ConnectionEnd end;
+    end.cause = mCause.value_or(CloseCause::kCaller);
+    end.detail = mDetail;
+    end.requestDropped = mRequestStarted && !mResponseComplete;
+    end.request = mRequestRead ? &mRequest : nullptr;
+    end.age = Clock::now() - mFirstByteAt;
+    mShared->options.onConnectionEnd(end);
+  }
+
   void NotifyDisconnect()
   {
     auto function = std::move(mOnDisconnect);
@@ -254,48 +366,110 @@
 
   asio::awaitable<bool> ReadRequest()
   {
+    mRequestStarted = false;
+    mRequestRead = false;
+    mResponseStarted = false;
+    mResponseComplete = false;
+    // Beast's own timeout would close the socket under bytes that have arrived.
+    mStream.expires_never();
     mLimits = mShared->options.limits();
     mParser.emplace();
-    mParser->header_limit(static_cast<std::uint32_t>(mLimits.headerBytes));
-    mParser->body_limit(mLimits.bodyBytes);
     if (mBuffer.size() == 0 && !co_await WaitForBytes()) {
       co_return false;
     }
-    // Beast's own timeout would close the socket, so that no error response
-    // could be sent.
-    mStream.expires_never();
-    auto& socket = mStream.socket();
-    StartReadTimer();
-    auto [error, bytes] =
-      co_await bhttp::async_read_header(socket, mBuffer, *mParser, kNoThrow);
+    mRequestStarted = true;
+    mFirstByteAt = Clock::now();
+    StartReadTimer(mLimits.headerTimeout);
+    ErrorCode error = ParseBuffer();
     while (!error && !mParser->is_done()) {
-      StartReadTimer();
-      std::tie(error, bytes) =
-        co_await bhttp::async_read_some(socket, mBuffer, *mParser, kNoThrow);
+      if (mParser->is_header_done()) {
+        StartReadTimer(mLimits.headerTimeout);
+      }
+      error = mReadExpired ? asio::error::timed_out : co_await ReadSome();
+      if (!error) {
+        error = ParseBuffer();
+      }
     }
-    mReadTimer.cancel();
+    StopReadTimer();
     if (error) {
       co_await RefuseMalformed(error);
       co_return false;
     }
     mKeepAlive = mParser->keep_alive();
     mRequest = FromBeast(mParser->release());
+    mRequestRead = true;
     co_return true;
   }
 
-  /// Starts the timer that cancels the next read after the header timeout.
-  void StartReadTimer()
+  /// Parses what the buffer holds. Returns no error if a further part of the
+  /// request is needed.
+  ErrorCode ParseBuffer()
   {
-    mReadExpired = false;
-    mReadTimer.expires_after(mLimits.headerTimeout);
-    mReadTimer.async_wait([weak = weak_from_this()](const ErrorCode& aError) {
-      const auto self = weak.lock();
-      if (self && !aError) {
-        self->mReadExpired = true;
-        ErrorCode ignored;
-        self->mStream.socket().cancel(ignored);
+    RaiseLimits();
+    while (mBuffer.size() > 0 && !mParser->is_done()) {
+      ErrorCode error;
+      const auto used = mParser->put(mBuffer.data(), error);
+      mBuffer.consume(used);
+      if (error && error != bhttp::error::need_more) {
+        return error;
       }
-    });
+      if (used == 0) {
+        break;
+      }
+    }
+    return {};
+  }
+
+  /// Raises the limits to the current ones. A request that was sent within the
+  /// limits at any time since the connection became idle is accepted.
+  void RaiseLimits()
+  {
+    const auto now = mShared->options.limits();
+    mLimits.headerBytes = std::max(mLimits.headerBytes, now.headerBytes);
+    mLimits.bodyBytes = std::max(mLimits.bodyBytes, now.bodyBytes);
+    mLimits.headerTimeout = std::max(mLimits.headerTimeout, now.headerTimeout);
+    mParser->header_limit(static_cast<std::uint32_t>(mLimits.headerBytes));
+    // Beast counts down from the limit.
+    mParser->body_limit(mLimits.bodyBytes - mParser->get().body().size());
+  }
+
+  /// Reads a further part of a request. The read is a single operation: it
+  /// either is cancelled or has bytes, so that the timer cannot cancel a part
+  /// that has arrived.
+  asio::awaitable<ErrorCode> ReadSome()
+  {
+    auto [error, bytes] = co_await mStream.socket().async_read_some(
+      mBuffer.prepare(beast::read_size(mBuffer, kMaxReadBytes)), kNoThrow);
+    mBuffer.commit(bytes);
+    if (error == asio::error::eof) {
+      mParser->put_eof(error);
+    }
+    co_return error;
+  }
+
+  /// Starts the timer that cancels the read in progress.
+  void StartReadTimer(Duration aTimeout)
+  {
+    mReadExpired = false;
+    mReadTimer.expires_after(aTimeout);
+    mReadTimer.async_wait(
+      [weak = weak_from_this(), number = ++mReadTimerNumber](const ErrorCode&) {
+        const auto self = weak.lock();
+        if (self && number == self->mReadTimerNumber) {
+          self->mReadExpired = true;
+          ErrorCode ignored;
+          self->mStream.socket().cancel(ignored);
+        }
+      });
+  }
+
+  /// Stops the timer. The number also stops a handler that is already queued,
+  /// which cancel() does not, and which would cancel operations of the
+  /// response.
+  void StopReadTimer()
+  {
+    ++mReadTimerNumber;
+    mReadTimer.cancel();
   }
 
   /// Reads and discards what the caller still sends, for at most kLingerTime.
@@ -312,19 +486,58 @@
     }
   }
 
-  /// Waits for the first byte of a request, up to the idle timeout. From then
-  /// on the header timeout applies, which limits callers that send slowly.
+  /// Waits for the first byte of a request, up to the idle timeout or the drain
+  /// of the server. From then on the header timeout applies, which limits
+  /// callers that send slowly. The wait ends by cancelling the read, so that
+  /// bytes that have arrived are not lost.
   asio::awaitable<bool> WaitForBytes()
   {
+    const TimePoint idleEnd =
+      Clock::now() + std::max(mLimits.idleTimeout, mPromisedIdle) + kIdleGrace;
+    const TimePoint drainEnd =
+      mFirstRequest ? mOpenedAt + kFirstRequestGrace : TimePoint();
     mIdle = true;
-    mStream.expires_after(mLimits.idleTimeout + kIdleGrace);
-    const auto [error, bytes] = co_await mStream.async_read_some(
-      mBuffer.prepare(kReadBufferBytes), kNoThrow);
+    ErrorCode error;
+    while (mBuffer.size() == 0 && !error) {
+      const bool draining = mShared->draining.load();
+      const TimePoint end = draining ? std::min(idleEnd, drainEnd) : idleEnd;
+      const TimePoint now = Clock::now();
+      if (now >= end) {
+        error = ReadAvailable();
+        if (error == asio::error::would_block) {
+          SetCause(draining ? CloseCause::kDrain : CloseCause::kIdle);
+        }
+      } else {
+        StartReadTimer(end - now);
+        const auto [readError, bytes] =
+          co_await mStream.socket().async_read_some(
+            mBuffer.prepare(kReadBufferBytes), kNoThrow);
+        StopReadTimer();
+        mBuffer.commit(bytes);
+        if (readError != asio::error::operation_aborted) {
+          error = readError;
+        }
+      }
+    }
     mIdle = false;
-    mBuffer.commit(bytes);
+    mFirstRequest = false;
+    if (error) {
+      SetCause(CloseCause::kCaller, error.message());
+    }
     co_return !error;
   }
 
+  /// Reads the bytes that have arrived; would_block if there are none.
+  ErrorCode ReadAvailable()
+  {
+    ErrorCode error;
+    mStream.socket().non_blocking(true, error);
+    const auto bytes = mStream.socket().read_some(
+      asio::buffer(mBuffer.prepare(kReadBufferBytes)), error);
+    mBuffer.commit(bytes);
+    return error;
+  }
+
   /// Counts a request that could not be read, and sends an error response
   /// unless the connection itself failed.
   asio::awaitable<void> RefuseMalformed(ErrorCode aError)
@@ -349,23 +562,44 @@
       remedy = "send the whole request without pauses";
     } else if (aError.category() !=
                bhttp::make_error_code(bhttp::error::bad_method).category()) {
+      SetCause(CloseCause::kCaller, aError.message());
       co_return;
     }
+    if (aError == bhttp::error::partial_message) {
+      SetCause(CloseCause::kCaller, aError.message());
+    }
+    SetCause(mReadExpired ? CloseCause::kReadTimeout : CloseCause::kMalformed,
+             aError.message());
     Response response =
       JsonResponse(status,
                    std::string(R"({"error":{"outcome":"not-run","kind":")") +
                      kind + R"(","remedy":")" + remedy + "\"}}");
     response.headers.push_back({ "X-Outcome", "not-run" });
     co_await Respond(std::move(response));
+    if (aError == bhttp::error::partial_message) {
+      // The caller has closed its side, so it probably does not read this.
+      mResponseComplete = false;
+    }
   }
 
   asio::awaitable<void> Serve()
   {
+    const InProgress inProgress(mShared->counters);
     mServing = true;
-    mShared->counters.inProgress.fetch_add(1);
     mStream.expires_never();
-    co_await mShared->handler(*this);
-    mShared->counters.inProgress.fetch_sub(1);
+    std::exception_ptr thrown;
+    try {
+      co_await mShared->handler(*this);
+    } catch (...) {
+      thrown = std::current_exception();
+    }
+    std::string fault = thrown ? TextOf(thrown) : "";
+    if (!thrown && !mResponseComplete && !mCallerDisconnected && !mAborted) {
+      fault = "the handler gave no response";
+    }
+    if (!fault.empty()) {
+      co_await EndFailed(std::move(fault));
+    }
     mServing = false;
     mOnDisconnect = nullptr;
     if (mWatching && mStream.socket().is_open()) {
@@ -374,69 +608,112 @@
     }
   }
 
+  /// Ends a request whose handler failed. The request may have run, so that the
+  /// status promises nothing.
+  asio::awaitable<void> EndFailed(std::string aFault)
+  {
+    SetCause(CloseCause::kHandlerFailed, std::move(aFault));
+    mKeepAlive = false;
+    if (mCallerDisconnected || mAborted || mResponseComplete) {
+      co_return;
+    }
+    if (mResponseStarted) {
+      Abort();
+      co_return;
+    }
+    Response response = JsonResponse(
+      500,
+      R"({"error":{"outcome":"unknown","kind":"internal-error",)"
+      R"("remedy":"check whether the request ran before sending it again"}})");
+    response.headers.push_back({ "X-Outcome", "unknown" });
+    co_await Respond(std::move(response));
+  }
+
   beast::tcp_stream mStream;
   asio::steady_timer mReadTimer;
-  bool mReadExpired = false; ///< The timer cancelled the last read.
+  /// Identifies the timer that is running; handlers of others do nothing.
+  std::uint64_t mReadTimerNumber = 0;
+  bool mReadExpired = false; ///< The timer has expired.
   std::shared_ptr<SharedState> mShared;
   beast::flat_buffer mBuffer;
   std::optional<bhttp::request_parser<bhttp::string_body>> mParser;
   Request mRequest;
   std::function<void()> mOnDisconnect;
   bool mKeepAlive = true;
+  bool mAborted = false;
   bool mCallerDisconnected = false;
   bool mServing = false;
-  bool mIdle = false; ///< No byte of the next request has arrived.
+  bool mIdle = false;        ///< No byte of the next request has arrived.
+  bool mFirstRequest = true; ///< No byte has arrived at all.
+  TimePoint mOpenedAt = Clock::now();
   /// Whether input is discarded before the connection is closed, because the
   /// caller may still be sending a request.
   bool mLinger = false;
-  ServerLimits mLimits;
+  ServerLimits mLimits;     ///< Of the request that is being read.
+  Duration mPromisedIdle{}; ///< The idle timeout that the caller was told last.
+  std::optional<CloseCause> mCause; ///< Why the connection ends.
+  std::string mDetail;              ///< The error that belongs to mCause.
+  // These describe the request that is being read or served.
+  bool mRequestStarted = false;   ///< Its first byte was read.
+  bool mRequestRead = false;      ///< It was read completely.
+  bool mResponseStarted = false;  ///< A part of its response may be written.
+  bool mResponseComplete = false; ///< Its response was written completely.
+  TimePoint mFirstByteAt{};
   /// Whether a wait for readability is pending. There is at most one.
   bool mWatching = false;
 };
 
-asio::awaitable<void>
-RunConnection(std::shared_ptr<Connection> aConnection)
-{
-  co_await aConnection->Run();
-}
-
-class AsioServer : public Server
+/// Accepts connections. Shared with its coroutine, which may outlive the
+/// server.
+class Listener : public std::enable_shared_from_this<Listener>
 {
 public:
-  AsioServer(Threads& aThreads, ServerOptions aOptions, Handler aHandler)
+  Listener(Threads& aThreads, std::shared_ptr<SharedState> aShared)
     : mThreads(aThreads)
-    , mShared(std::make_shared<SharedState>())
+    , mShared(std::move(aShared))
     , mAcceptor(aThreads.At(0))
   {
-    mShared->options = std::move(aOptions);
-    mShared->handler = std::move(aHandler);
     Bind();
-    asio::co_spawn(mThreads.At(0), Accept(), asio::detached);
   }
 
-  ~AsioServer() override
+  asio::awaitable<void> Run()
   {
-    ErrorCode ignored;
-    mAcceptor.close(ignored);
+    const auto self = shared_from_this();
+    while (mAcceptor.is_open() && !mShared->draining.load()) {
+      auto [error, socket] = co_await mAcceptor.async_accept(
+        mThreads.Next().get_executor(), kNoThrow);
+      if (error == asio::error::operation_aborted) {
+        break;
+      }
+      if (error) {
+        co_await WaitAfterError();
+        continue;
+      }
+      try {
+        Start(std::move(socket));
+      } catch (const std::exception& error) {
+        ReportRefused(error.what());
+      }
+    }
+    if (mAcceptor.is_open()) {
+      AcceptBacklog();
+    }
   }
 
-  void CloseAfterResponses() override { mShared->closing.store(true); }
-
-  void Drain() override
+  /// Ends Run() after the connections that wait to be accepted.
+  void Drain()
   {
-    CloseAfterResponses();
-    mShared->draining.store(true);
-    asio::post(mThreads.At(0), [this] {
+    asio::post(mThreads.At(0), [self = shared_from_this()] {
       ErrorCode ignored;
-      mAcceptor.close(ignored);
+      self->mAcceptor.cancel(ignored);
     });
-    std::lock_guard<std::mutex> lock(mShared->mutex);
-    for (auto* connection : mShared->connections) {
-      connection->CloseIfIdle();
-    }
   }
 
-  const ServerCounters& Counters() const override { return mShared->counters; }
+  void Close()
+  {
+    ErrorCode ignored;
+    mAcceptor.close(ignored);
+  }
 
 private:
   void Bind()
@@ -456,20 +733,22 @@
     }
   }
 
-  asio::awaitable<void> Accept()
+  /// Accepts the connections that the operating system has already established
+  /// and would reset, and closes the acceptor.
+  void AcceptBacklog()
   {
-    while (mAcceptor.is_open()) {
-      auto [error, socket] = co_await mAcceptor.async_accept(
-        mThreads.Next().get_executor(), kNoThrow);
-      if (error == asio::error::operation_aborted) {
-        break;
-      }
-      if (error) {
-        co_await WaitAfterError();
-        continue;
+    ErrorCode error;
+    mAcceptor.non_blocking(true, error);
+    while (!error) {
+      auto socket = mAcceptor.accept(mThreads.Next().get_executor(), error);
+      if (!error) {
+        Start(std::move(socket));
+      } else if (error == asio::error::connection_aborted) {
+        error.clear();
       }
-      Start(std::move(socket));
     }
+    mAcceptor.close(error);
+    mShared->accepting.store(false);
   }
 
   /// Waits before the next accept, as errors such as a lack of file descriptors
@@ -484,7 +763,7 @@
   {
     auto& counters = mShared->counters;
     if (counters.open.load() >= mShared->options.maxConnections) {
-      counters.refusedConnections.fetch_add(1);
+      ReportRefused("");
       return;
     }
     counters.accepted.fetch_add(1);
@@ -492,7 +771,25 @@
     aSocket.set_option(tcp::no_delay(true), ignored);
     const auto executor = aSocket.get_executor();
     auto connection = std::make_shared<Connection>(std::move(aSocket), mShared);
-    asio::co_spawn(executor, RunConnection(connection), asio::detached);
+    asio::co_spawn(executor,
+                   connection->Run(),
+                   [connection](const std::exception_ptr& aFault) {
+                     if (aFault) {
+                       connection->Fail(aFault);
+                     }
+                   });
+  }
+
+  /// Counts a connection that is closed because it cannot be served.
+  void ReportRefused(const char* aDetail)
+  {
+    mShared->counters.refusedConnections.fetch_add(1);
+    if (mShared->options.onConnectionEnd) {
+      ConnectionEnd end;
+      end.cause = CloseCause::kLimit;
+      end.detail = aDetail;
+      mShared->options.onConnectionEnd(end);
+    }
   }
 
   Threads& mThreads;
@@ -500,8 +797,75 @@
   tcp::acceptor mAcceptor;
 };
 
+class AsioServer : public Server
+{
+public:
+  AsioServer(Threads& aThreads, ServerOptions aOptions, Handler aHandler)
+    : mShared(std::make_shared<SharedState>())
+  {
+    mShared->options = std::move(aOptions);
+    mShared->handler = std::move(aHandler);
+    mListener = std::make_shared<Listener>(aThreads, mShared);
+    asio::co_spawn(aThreads.At(0), mListener->Run(), asio::detached);
+  }
+
+  ~AsioServer() override { mListener->Close(); }
+
+  void CloseAfterResponses() override { mShared->closing.store(true); }
+
+  void Drain() override
+  {
+    CloseAfterResponses();
+    mShared->draining.store(true);
+    mListener->Drain();
+    std::lock_guard<std::mutex> lock(mShared->mutex);
+    for (auto* connection : mShared->connections) {
+      connection->WakeIfIdle();
+    }
+  }
+
+  bool Drained() const override
+  {
+    return !mShared->accepting.load() && mShared->counters.open.load() == 0;
+  }
+
+  const ServerCounters& Counters() const override { return mShared->counters; }
+
+private:
+  std::shared_ptr<SharedState> mShared;
+  std::shared_ptr<Listener> mListener;
+};
+
 } // namespace
 
+const char*
+Name(CloseCause aCause)
+{
+  switch (aCause) {
+    case CloseCause::kAnswered:
+      return "answered";
+    case CloseCause::kCaller:
+      return "caller";
+    case CloseCause::kIdle:
+      return "idle";
+    case CloseCause::kDrain:
+      return "drain";
+    case CloseCause::kReadTimeout:
+      return "read-timeout";
+    case CloseCause::kMalformed:
+      return "malformed";
+    case CloseCause::kWriteFailed:
+      return "write-failed";
+    case CloseCause::kHandlerFailed:
+      return "handler-failed";
+    case CloseCause::kAborted:
+      return "aborted";
+    case CloseCause::kLimit:
+      return "limit";
+  }
+  return "unknown";
+}
+
 std::unique_ptr<Server>
 StartServer(Threads& aThreads, ServerOptions aOptions, Handler aHandler)
 {
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -2,6 +2,7 @@
 // them share one event loop, because the VM has only a share of one processor.
 #include "magnoliatide/node/vm.h"
 
+#include "connection_record.h"
 #include "dispatch_service.h"
 #include "local_dispatcher.h"
 #include "peer_link.h"
@@ -41,6 +42,10 @@
 /// process.
 constexpr Duration kStopMargin = Milliseconds(300);
 
+/// How much of kStopMargin the answers to the requests that are ended by the
+/// stop may take.
+constexpr Duration kLastAnswersTime = Milliseconds(150);
+
 /// How long a server's host may leave packets unacknowledged before the
 /// connection is closed.
 constexpr Duration kDeadPeerTimeout = Seconds(3);
@@ -349,6 +354,12 @@
     callers.address = mSettings.callerAddress;
     callers.advertiseIdleTimeout = true;
     callers.limits = [this] { return CurrentLimits(); };
+    callers.onConnectionEnd = [this](const http::ConnectionEnd& aEnd) {
+      RecordConnectionEnd(
+        mMetrics,
+        aEnd,
+        aEnd.request != nullptr ? mDialect->DecodeCall(*aEnd.request).id : "");
+    };
     mCallerServer =
       http::StartServer(mThreads, callers, [this](http::Exchange& aExchange) {
         return mForwarder.Handle(aExchange);
@@ -456,6 +467,14 @@
     }
   }
 
+  /// Waits until the callers' connections have ended, or until aEnd.
+  void AwaitDrained(TimePoint aEnd) const
+  {
+    while (!mCallerServer->Drained() && Clock::now() < aEnd) {
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+  }
+
   void Drain()
   {
     const auto drainEnd = Clock::now() + mSettings.drainTime - kStopMargin;
@@ -464,9 +483,10 @@
     mCallerServer->CloseAfterResponses();
     std::this_thread::sleep_for(kDrainDelay);
     mCallerServer->Drain();
-    while (mCallerServer->Counters().inProgress.load() > 0 &&
-           Clock::now() < drainEnd) {
-      std::this_thread::sleep_for(Milliseconds(20));
+    AwaitDrained(drainEnd);
+    if (!mCallerServer->Drained()) {
+      asio::post(mLoop, [this] { mForwarder.EndAll(); });
+      AwaitDrained(drainEnd + kLastAnswersTime);
     }
     asio::post(mLoop,
                asio::use_future([this] { SendAll(mMembership.Leave()); }))
@@ -475,7 +495,9 @@
                "draining",
                "stopped",
                std::to_string(mCallerServer->Counters().inProgress.load()) +
-                 " requests in progress");
+                 " requests in progress, " +
+                 std::to_string(mCallerServer->Counters().open.load()) +
+                 " connections open");
   }
 
   document::Settings mSettings;
--- a/src/node/registry_vm.cpp
+++ b/src/node/registry_vm.cpp
@@ -5,6 +5,7 @@
 #include "admin_service.h"
 #include "claim_service.h"
 #include "config_service.h"
+#include "connection_record.h"
 #include "notice_service.h"
 #include "order_service.h"
 #include "peer_link.h"
@@ -274,6 +275,9 @@
   {
     http::ServerOptions callers;
     callers.address = mSettings.callerAddress;
+    callers.onConnectionEnd = [this](const http::ConnectionEnd& aEnd) {
+      RecordConnectionEnd(mMetrics, aEnd, "");
+    };
     mCallerServer = http::StartServer(
       mCallerThreads, callers, [this](http::Exchange& aExchange) {
         return mGateway.Handle(aExchange);
@@ -472,11 +476,11 @@
   {
     mAudit.Add("vm", "serving", "draining", "planned stop");
     mGateway.SetDraining();
+    mCallerServer->CloseAfterResponses();
     const auto deadline = Clock::now() + mSettings.drainTime;
     std::this_thread::sleep_for(kDrainDelay);
     mCallerServer->Drain();
-    while (mCallerServer->Counters().inProgress.load() > 0 &&
-           Clock::now() < deadline) {
+    while (!mCallerServer->Drained() && Clock::now() < deadline) {
       std::this_thread::sleep_for(Milliseconds(10));
     }
     asio::post(mControlThread.At(0),
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -467,6 +467,29 @@
   EXPECT_EQ(RunsOf(mFleet), 0u);
 }
 
+// Guards against callers' connections that end without a trace in the metrics
+// and the log.
+TEST_F(Platform, TheEndOfEachConnectionHasACause)
+{
+  StartWith(1);
+  mFleet.Call(0, CallTo("/deposits/1"));
+  mFleet.SendRaw(0,
+                 "POST /deposits/2 HTTP/1.1\r\nHost: shop.example\r\n"
+                 "Content-Length: 9\r\n\r\nabc",
+                 Milliseconds(50));
+  EXPECT_TRUE(AwaitTrue([&] {
+    const auto metrics = mFleet.Metrics(0);
+    return metrics.find(
+             "caller_connections_closed_total{cause=\"answered\"}") !=
+             std::string::npos &&
+           metrics.find("caller_requests_dropped_total{cause=\"caller\"} 1") !=
+             std::string::npos;
+  }))
+    << mFleet.Metrics(0);
+  EXPECT_NE(mFleet.Log(0).find("event=request-dropped cause=caller read=part"),
+            std::string::npos);
+}
+
 TEST_F(Platform, ATeamIsHeldToItsQuota)
 {
   mFleet.AddEngine(Engine("i-1"));
@@ -522,6 +545,91 @@
   EXPECT_EQ(mFleet.Vms()[0].process.ExitStatus(), 0);
 }
 
+// Guards against a process that ends while it reads a request.
+TEST_F(Platform, APlannedStopWaitsForARequestThatIsBeingSent)
+{
+  StartWith(1);
+  mFleet.Vms()[0].process.Signal(SIGTERM);
+  std::this_thread::sleep_for(Milliseconds(2300));
+  std::string answers[2];
+  const std::string head = "POST /deposits/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                           "Attempt-Id: 00000000000000a";
+  const std::string rest = "\r\nDeadline-Ms: 5000\r\n"
+                           "Authorization: Token key-of-planners\r\n"
+                           "Content-Length: 4\r\n\r\n";
+  // One caller pauses within the head, the other within the body.
+  std::thread first([&] {
+    answers[0] =
+      mFleet.SendInTwo(0, head, "1" + rest + "abcd", Milliseconds(1000));
+  });
+  std::thread second([&] {
+    answers[1] =
+      mFleet.SendInTwo(0, head + "2" + rest + "ab", "cd", Milliseconds(1000));
+  });
+  first.join();
+  second.join();
+  for (const auto& answer : answers) {
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200") << answer;
+    EXPECT_NE(answer.find("answer to /deposits/1 abcd"), std::string::npos);
+  }
+  EXPECT_TRUE(mFleet.Vms()[0].process.Wait(Seconds(8)));
+}
+
+// Guards against requests that wait for a server until the time of a planned
+// stop is over, and then get no answer.
+TEST_F(Platform, APlannedStopAnswersWhatStillWaits)
+{
+  auto slow = Engine("i-1");
+  slow.slots = 1;
+  slow.events = 700;
+  slow.eventInterval = Milliseconds(20);
+  mFleet.AddEngine(slow);
+  RouteConfig route;
+  route.timeoutMillis = 20000;
+  route.targetMillis = 20000;
+  mFleet.Publish({ route }, { TeamConfig() });
+  ASSERT_TRUE(mFleet.Start());
+  auto call = CallTo("/quotes/1");
+  call.deadlineMillis = 20000;
+  auto running = mFleet.StartCall(0, call);
+  ASSERT_TRUE(AwaitTrue([&] { return At(0).Runs().size() == 1; }));
+  call.path = "/quotes/2";
+  auto waiting = mFleet.StartCall(0, call);
+  std::this_thread::sleep_for(Milliseconds(200));
+  mFleet.Vms()[0].process.Signal(SIGTERM);
+  const auto result = waiting.Result();
+  EXPECT_EQ(result.status, CallStatus::kDone);
+  EXPECT_EQ(result.response.status, 503);
+  EXPECT_TRUE(mFleet.Vms()[0].process.Wait(Seconds(2)));
+  EXPECT_EQ(running.Result().status, CallStatus::kCut);
+  EXPECT_EQ(RunsOf(mFleet), 1u);
+}
+
+// Guards against a request that the client for servers cannot send: its caller
+// got no answer, and its place at the server stayed taken.
+TEST_F(Platform, ARequestThatCannotBeSentIsAnswered)
+{
+  auto orders = Orders("o-1");
+  orders.slots = 1;
+  orders.queue = 0;
+  mFleet.AddEngine(orders);
+  mFleet.PublishDefaultRoutes();
+  ASSERT_TRUE(mFleet.Start());
+  for (int i = 0; i < 4; ++i) {
+    const auto answer =
+      mFleet.SendRaw(0,
+                     "TRACE /deposits/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                     "Attempt-Id: 00000000000000ae\r\nDeadline-Ms: 5000\r\n"
+                     "Authorization: Token key-of-planners\r\n"
+                     "Content-Length: 4\r\n\r\nabcd",
+                     Seconds(2));
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 500") << answer;
+  }
+  EXPECT_NE(mFleet.Log(0).find("event=handler-failed request=00000000000000ae"),
+            std::string::npos);
+  EXPECT_EQ(mFleet.Call(0, CallTo("/deposits/2")).response.status, 200);
+}
+
 TEST_F(Platform, EveryRequestCanBeFollowedInTheLog)
 {
   StartWith(1);
