--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -27,10 +27,14 @@
   endif()
 endfunction()
 
-# Adds the test program of a package, from the tests beside its sources. The
-# fixed seed makes property-based tests repeatable.
+# Adds the test program of a package, from the tests beside its sources in
+# src/<name> or in FOLDER. The fixed seed makes property-based tests repeatable.
 function(magnoliatide_tests aName)
-  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${aName}/*_test.cpp)
+  cmake_parse_arguments(ARG "" "FOLDER" "" ${ARGN})
+  if(NOT ARG_FOLDER)
+    set(ARG_FOLDER ${CMAKE_CURRENT_SOURCE_DIR}/${aName})
+  endif()
+  file(GLOB tests CONFIGURE_DEPENDS ${ARG_FOLDER}/*_test.cpp)
   if(NOT tests)
     return()
   endif()
--- a/include/magnoliatide/core/time.h
+++ b/include/magnoliatide/core/time.h
@@ -23,7 +23,8 @@
 double
 ToSeconds(Duration aDuration);
 
-/// Converts a floating-point number of seconds to a duration.
+/// Converts a floating-point number of seconds to a duration. Numbers beyond
+/// 1e9 seconds in either direction become that limit, and NaN becomes zero.
 Duration
 FromSeconds(double aSeconds);
 
--- a/src/core/time.cpp
+++ b/src/core/time.cpp
@@ -2,11 +2,19 @@
 #include "magnoliatide/core/time.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <ctime>
 
 namespace magnoliatide {
 
+namespace {
+
+/// About 31 years; a few such durations can be added without overflow.
+constexpr double kMaxSeconds = 1e9;
+
+} // namespace
+
 double
 ToSeconds(Duration aDuration)
 {
@@ -16,8 +24,11 @@
 Duration
 FromSeconds(double aSeconds)
 {
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(aSeconds));
+  if (std::isnan(aSeconds)) {
+    return Duration::zero();
+  }
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+    std::clamp(aSeconds, -kMaxSeconds, kMaxSeconds)));
 }
 
 std::uint32_t
--- a/src/document/document.cpp
+++ b/src/document/document.cpp
@@ -4,6 +4,8 @@
 #include "magnoliatide/core/digest.h"
 #include "magnoliatide/document/ini.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <charconv>
 #include <set>
@@ -13,6 +15,16 @@
 
 namespace {
 
+bool
+IsIpAddress(const std::string& aText)
+{
+  unsigned char address[sizeof(in6_addr)];
+  const auto* text = aText.c_str();
+  return aText.find('\0') == std::string::npos &&
+         (::inet_pton(AF_INET, text, address) == 1 ||
+          ::inet_pton(AF_INET6, text, address) == 1);
+}
+
 struct EnvironmentKeys
 {
   std::string name;
@@ -453,9 +465,8 @@
   const char* end = port.data() + port.size();
   const auto [stop, error] = std::from_chars(port.data(), end, aOut.port);
   aOut.host = std::string(aText.substr(0, colon));
-  const bool numeric = aOut.host.find_first_not_of(
-                         "0123456789abcdefABCDEF.:[]") == std::string::npos;
-  return error == std::errc() && stop == end && aOut.port != 0 && numeric;
+  return error == std::errc() && stop == end && aOut.port != 0 &&
+         IsIpAddress(aOut.host);
 }
 
 std::string
--- /dev/null
+++ b/tests/odd_entries_process_test.cpp
@@ -0,0 +1,230 @@
+// Guards against processes that end, or stop following the store, because
+// another writer left odd entries in it. Real VM processes run with test
+// doubles of the store and the servers.
+#include "platform_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <thread>
+
+namespace magnoliatide::tests {
+namespace {
+
+using http::CallStatus;
+using standins::StoreFault;
+
+bool
+AwaitTrue(const std::function<bool()>& aCondition,
+          Duration aTimeout = Seconds(4))
+{
+  const TimePoint end = Clock::now() + aTimeout;
+  while (!aCondition()) {
+    if (Clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+  return true;
+}
+
+std::string
+NameOfTest()
+{
+  const auto* info = ::testing::UnitTest::GetInstance()->current_test_info();
+  return std::string(info->test_suite_name()) + "." + info->name();
+}
+
+CallSpec
+CallTo(const std::string& aPath)
+{
+  CallSpec call;
+  call.path = aPath;
+  return call;
+}
+
+std::string
+Nested(std::size_t aDepth)
+{
+  return std::string(aDepth, '[') + std::string(aDepth, ']');
+}
+
+/// Returns a server entry with one field replaced by a text.
+std::string
+EntryWith(const std::string& aField, const std::string& aText)
+{
+  std::string entry = "{";
+  for (const auto& [name, text] :
+       std::vector<std::pair<std::string, std::string>>{
+         { "service", "\"language\"" },
+         { "address", "\"127.30.2.9:9\"" },
+         { "zone", "\"kariakoo\"" },
+         { "version", "\"v1\"" },
+         { "slots", "8" },
+         { "state", "\"ready\"" },
+         { "warmup-left-ms", "0" },
+         { "born", "1000" },
+         { "sequence", "1" } }) {
+    entry += "\"" + name + "\":" + (name == aField ? aText : text) + ",";
+  }
+  entry.back() = '}';
+  return entry;
+}
+
+/// Returns values that name no server.
+std::vector<std::string>
+OddEntries()
+{
+  std::vector<std::string> entries = { "",
+                                       "null",
+                                       "[]",
+                                       "{}",
+                                       "{\"service\":5",
+                                       "\xff\xfe\x01",
+                                       std::string("\0\0", 2),
+                                       Nested(31),
+                                       Nested(100000),
+                                       "{\"a\":" + Nested(100000) + "}",
+                                       std::string(300000, 'x') };
+  for (const auto* field : { "service",
+                             "address",
+                             "zone",
+                             "slots",
+                             "state",
+                             "warmup-left-ms",
+                             "born",
+                             "sequence" }) {
+    for (const std::string& text : { std::string("[]"),
+                                     Nested(40),
+                                     std::string("1e999"),
+                                     std::string("-1"),
+                                     std::string("1.5e300"),
+                                     std::string(400, '9') }) {
+      entries.push_back(EntryWith(field, text));
+    }
+  }
+  for (const auto* slots : { "0", "4294967296", "2147483648", "\"8\"" }) {
+    entries.push_back(EntryWith("slots", slots));
+  }
+  for (const auto* address : { "\"127.30.2.9\"",
+                               "\"127.30.2.9:0\"",
+                               "\"127.30.2.9:-1\"",
+                               "\"127.30.2.9:65536\"",
+                               "\"127.30.2.9:99999999999999999999\"",
+                               "\"engine.example:80\"",
+                               "\"999.30.2.9:80\"",
+                               "\"0.0.0.0:80\"",
+                               "\"224.0.0.1:80\"",
+                               "\"::::80\"",
+                               "\"\"" }) {
+    entries.push_back(EntryWith("address", address));
+  }
+  entries.push_back(EntryWith("state", "\"sleeping\""));
+  entries.push_back(EntryWith("service", "\"\""));
+  return entries;
+}
+
+/// A deployment with one engine, one server for orders, and the default routes.
+class OddStore : public ::testing::Test
+{
+protected:
+  explicit OddStore(std::vector<std::string> aZones = { "kariakoo" })
+    : mFleet(NameOfTest(), std::move(aZones))
+  {
+    AddEngine("i-1");
+    standins::BatchEngineOptions orders;
+    orders.id = "o-1";
+    orders.service = "orders";
+    orders.stream = false;
+    mFleet.AddEngine(orders);
+    mFleet.PublishDefaultRoutes();
+  }
+
+  standins::BatchEngine& AddEngine(const std::string& aId)
+  {
+    standins::BatchEngineOptions options;
+    options.id = aId;
+    return mFleet.AddEngine(options);
+  }
+
+  bool Serves(std::size_t aVm, const std::string& aPath = "/quotes/1")
+  {
+    const auto result = mFleet.Call(aVm, CallTo(aPath));
+    return result.status == CallStatus::kDone && result.response.status == 200;
+  }
+
+  bool AllServe()
+  {
+    bool all = true;
+    for (std::size_t i = 0; i < mFleet.Vms().size(); ++i) {
+      all &= Serves(i);
+    }
+    return all;
+  }
+
+  bool AllRun()
+  {
+    bool all = true;
+    for (auto& vm : mFleet.Vms()) {
+      all &= vm.process.Running();
+    }
+    return all;
+  }
+
+  /// Publishes a configuration without the route /deposits/ and returns whether
+  /// all VMs adopt it.
+  bool AllFollow()
+  {
+    mFleet.Publish({ RouteConfig() }, { TeamConfig() });
+    return AwaitTrue([&] {
+      bool all = true;
+      for (std::size_t i = 0; i < mFleet.Vms().size(); ++i) {
+        all &= mFleet.Call(i, CallTo("/deposits/1")).response.status == 404;
+      }
+      return all;
+    });
+  }
+
+  /// Returns whether a VM's log has a text.
+  bool Logged(std::size_t aVm, const std::string& aText)
+  {
+    return mFleet.Log(aVm).find(aText) != std::string::npos;
+  }
+
+  PlatformFleet mFleet;
+};
+
+class OddStorePair : public OddStore
+{
+protected:
+  OddStorePair()
+    : OddStore({ "kariakoo", "kariakoo" })
+  {
+  }
+};
+
+// Guards against VMs that do not start, end, or stop following because of an
+// odd value. The values are larger than a datagram and than a page between VMs.
+TEST_F(OddStorePair, NoOddValueEndsAVmOrStopsItsFollowing)
+{
+  const auto odd = OddEntries();
+  for (std::size_t i = 0; i < odd.size(); ++i) {
+    mFleet.Store().Put("servers/before-" + std::to_string(i), odd[i]);
+  }
+  ASSERT_TRUE(mFleet.Start());
+  EXPECT_TRUE(AllServe());
+  for (std::size_t i = 0; i < odd.size(); ++i) {
+    mFleet.Store().Put("servers/during-" + std::to_string(i), odd[i]);
+  }
+  EXPECT_TRUE(AllFollow());
+  EXPECT_TRUE(AllServe());
+  EXPECT_TRUE(AllRun());
+  for (std::size_t vm = 0; vm < 2; ++vm) {
+    EXPECT_TRUE(Logged(vm, "event=entry-skipped"));
+    EXPECT_FALSE(Logged(vm, "+before-"));
+    EXPECT_FALSE(Logged(vm, "+during-"));
+  }
+}
+
+} // namespace
+} // namespace magnoliatide::tests
