Decode the items of a store reply one by one

Seen: one item with a field nested deeper than 32 levels, invalid UTF-8 or a malformed value made the whole reply unreadable: a VM that started never became ready (15 s in the test), and one that ran stopped following. An item with a value that is not base64 counted as absent, so a list removed the server.

Cause: the reply was parsed as one JSON text.

Now a reply that the parser refuses is split at its commas without recursion, down to the fields of an item, and each part is parsed alone; an invalid part becomes null. An unreadable value becomes the empty one, so the item stays present. A reply without a revision is unreadable for any status.

--- a/src/node/store_follower.cpp
+++ b/src/node/store_follower.cpp
@@ -215,8 +215,7 @@
                             { "revision", aReply.revision },
                             { "problem",
                               std::to_string(aReply.skipped) +
-                                " entries have no key, no revision or a value "
-                                "that is not base64" } });
+                                " entries have no key or no revision" } });
   }
 }
 
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -16,24 +16,19 @@
 constexpr Duration kWatchPollInterval = Milliseconds(10);
 constexpr Duration kMaxWatchTime = Seconds(30);
 
-/// Returns an item in the form that the store's replies have.
-json::object
-ItemToJson(const std::string& aKey,
-           const std::string& aValue,
-           std::uint64_t aRevision,
-           std::uint64_t aCreated)
-{
-  return { { "key", aKey },
-           { "value", EncodeBase64(aValue) },
-           { "revision", aRevision },
-           { "created-rev", aCreated },
-           { "lease", 0 } };
-}
-
+/// Returns the text of a page of items or events.
 std::string
-Serialize(const json::object& aObject)
+PageText(const char* aName,
+         const std::vector<std::string>& aItems,
+         bool aTruncated,
+         std::uint64_t aRevision)
 {
-  return json::serialize(aObject);
+  std::string text = "{\"" + std::string(aName) + "\":[";
+  for (const auto& item : aItems) {
+    text += (text.back() == '[' ? "" : ",") + item;
+  }
+  return text + "],\"truncated\":" + (aTruncated ? "true" : "false") +
+         ",\"store-revision\":" + std::to_string(aRevision) + "}";
 }
 
 /// Decodes a percent-encoded query value.
@@ -75,6 +70,15 @@
   item.revision = ++mRevision;
 }
 
+void
+Store::SetNote(const std::string& aKey, const std::string& aText)
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  auto& item = mItems[aKey];
+  item.note = aText;
+  item.revision = ++mRevision;
+}
+
 void
 Store::SetFault(StoreFault aFault)
 {
@@ -103,17 +107,23 @@
   return mCalls;
 }
 
+StoreFault
+Store::Fault() const
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  return mFault;
+}
+
 asio::awaitable<void>
 Store::Handle(http::Exchange& aExchange)
 {
   const http::Request request = aExchange.Incoming();
-  StoreFault fault = StoreFault::kNone;
   {
     std::lock_guard<std::mutex> lock(mMutex);
     mCalls += 1;
-    fault = mFault;
   }
-  if (fault != StoreFault::kNone) {
+  const auto fault = Fault();
+  if (fault != StoreFault::kNone && fault != StoreFault::kHastyWatch) {
     co_await Fail(aExchange, fault);
     co_return;
   }
@@ -146,6 +156,9 @@
     aExchange.Abort();
   } else if (aFault == StoreFault::kReset) {
     aExchange.Abort();
+  } else if (aFault == StoreFault::kUnreadable) {
+    auto response = http::JsonResponse(200, "{\"items\":[{\"key\":");
+    co_await aExchange.Respond(std::move(response));
   } else {
     const int status = aFault == StoreFault::kUnavailable ? 503 : 429;
     auto response = http::TextResponse(status, "temporarily unavailable\n");
@@ -153,6 +166,23 @@
   }
 }
 
+/// Returns an item in the form that the store's replies have.
+std::string
+Store::ItemText(const std::string& aKey, const Item& aItem)
+{
+  std::string text = "{\"key\":" + json::serialize(json::string(aKey));
+  if (!aItem.note.empty()) {
+    text += ",\"note\":" + aItem.note;
+  }
+  text += ",\"revision\":" + std::to_string(aItem.revision);
+  if (!aItem.value) {
+    return text + ",\"removed\":true}";
+  }
+  return text + ",\"value\":\"" + EncodeBase64(*aItem.value) +
+         "\",\"created-rev\":" + std::to_string(aItem.created) +
+         ",\"lease\":0}";
+}
+
 http::Response
 Store::ItemResponse(const http::Request& aRequest) const
 {
@@ -162,10 +192,10 @@
   if (found == mItems.end() || !found->second.value) {
     return http::JsonResponse(404, "{}");
   }
-  const auto& item = found->second;
-  auto body = ItemToJson(key, *item.value, item.revision, item.created);
-  body["store-revision"] = mRevision;
-  return http::JsonResponse(200, Serialize(body));
+  auto body = ItemText(key, found->second);
+  body.back() = ',';
+  body += "\"store-revision\":" + std::to_string(mRevision) + "}";
+  return http::JsonResponse(200, body);
 }
 
 http::Response
@@ -174,7 +204,7 @@
   std::lock_guard<std::mutex> lock(mMutex);
   const auto prefix = PercentDecode(http::QueryParameter(aRequest, "prefix"));
   const auto after = PercentDecode(http::QueryParameter(aRequest, "after"));
-  json::array items;
+  std::vector<std::string> items;
   bool truncated = false;
   for (const auto& [key, item] : mItems) {
     const bool wanted = item.value && key.starts_with(prefix) && key > after;
@@ -185,12 +215,10 @@
       truncated = true;
       break;
     }
-    items.push_back(ItemToJson(key, *item.value, item.revision, item.created));
+    items.push_back(ItemText(key, item));
   }
   return http::JsonResponse(200,
-                            Serialize({ { "items", std::move(items) },
-                                        { "truncated", truncated },
-                                        { "store-revision", mRevision } }));
+                            PageText("items", items, truncated, mRevision));
 }
 
 std::optional<http::Response>
@@ -200,25 +228,16 @@
   if (aAfter < mCompactedRevision) {
     return http::JsonResponse(410, "{}");
   }
-  json::array events;
+  std::vector<std::string> events;
   for (const auto& [key, item] : mItems) {
-    if (!key.starts_with(aPrefix) || item.revision <= aAfter) {
-      continue;
-    }
-    if (item.value) {
-      events.push_back(
-        ItemToJson(key, *item.value, item.revision, item.created));
-    } else {
-      events.push_back(json::object{
-        { "key", key }, { "revision", item.revision }, { "removed", true } });
+    if (key.starts_with(aPrefix) && item.revision > aAfter) {
+      events.push_back(ItemText(key, item));
     }
   }
   if (events.empty()) {
     return std::nullopt;
   }
-  return http::JsonResponse(200,
-                            Serialize({ { "events", std::move(events) },
-                                        { "store-revision", mRevision } }));
+  return http::JsonResponse(200, PageText("events", events, false, mRevision));
 }
 
 asio::awaitable<void>
@@ -237,14 +256,13 @@
       co_await aExchange.Respond(std::move(*events));
       co_return;
     }
-    if (Clock::now() >= end || aExchange.CallerDisconnected()) {
+    const bool hasty = Fault() == StoreFault::kHastyWatch;
+    if (hasty || Clock::now() >= end || aExchange.CallerDisconnected()) {
       break;
     }
     co_await Pause(kWatchPollInterval);
   }
-  auto response = http::JsonResponse(
-    200,
-    Serialize({ { "events", json::array() }, { "store-revision", after } }));
+  auto response = http::JsonResponse(200, PageText("events", {}, false, after));
   co_await aExchange.Respond(std::move(response));
 }
 
--- a/standins/store.h
+++ b/standins/store.h
@@ -22,6 +22,8 @@
   kUnavailable,     ///< 503.
   kTooManyRequests, ///< 429.
   kReset,           ///< Resets the connection.
+  kUnreadable,      ///< 200 with an incomplete JSON body.
+  kHastyWatch,      ///< Answers a watch at once, without events.
 };
 
 /// A metadata store in memory; its methods may be called from any thread.
@@ -33,6 +35,10 @@
 
   void Remove(const std::string& aKey);
 
+  /// Adds a field to an item, as a JSON text that need not be valid. Counts as
+  /// a change of the item.
+  void SetNote(const std::string& aKey, const std::string& aText);
+
   void SetFault(StoreFault aFault);
 
   /// Discards the history; a watch from an earlier revision gets 410.
@@ -49,14 +55,17 @@
   struct Item
   {
     std::optional<std::string> value; ///< Empty if removed.
+    std::string note;                 ///< Text of an additional field.
     std::uint64_t revision = 0;       ///< Revision of the last change.
     std::uint64_t created = 0;
   };
 
+  StoreFault Fault() const;
   boost::asio::awaitable<void> Fail(http::Exchange& aExchange,
                                     StoreFault aFault);
   boost::asio::awaitable<void> Watch(http::Exchange& aExchange,
                                      const http::Request& aRequest);
+  static std::string ItemText(const std::string& aKey, const Item& aItem);
   http::Response ItemResponse(const http::Request& aRequest) const;
   http::Response Range(const http::Request& aRequest) const;
   std::optional<http::Response> EventsResponse(const std::string& aPrefix,
--- a/tests/odd_entries_process_test.cpp
+++ b/tests/odd_entries_process_test.cpp
@@ -226,5 +226,17 @@
   }
 }
 
+// Guards against an item that makes a whole list or watch unreadable.
+TEST_F(OddStorePair, AFieldThatCannotBeParsedHidesNoOtherItem)
+{
+  mFleet.Store().SetNote("servers/i-1", Nested(64));
+  ASSERT_TRUE(mFleet.Start());
+  EXPECT_TRUE(AllServe());
+  mFleet.Store().Put("servers/odd", "");
+  mFleet.Store().SetNote("servers/odd", "{\"a\":" + Nested(100000) + "}");
+  EXPECT_TRUE(AllFollow());
+  EXPECT_TRUE(AllServe());
+}
+
 } // namespace
 } // namespace magnoliatide::tests
