Pause after a watch that ends early without changes

Seen: with a store that answers watches at once without changes, a VM made 28,756 calls in two seconds, which the platform prices and limits.

Cause: a watch without changes counted as a success and was repeated without a pause; so was a list with the revision 0.

Now a watch that brought no newer revision and ended within the longest retry delay backs off like a failed call, and a list with the revision 0 is unreadable.

OddStore.AHastyWatchIsNotRepeatedWithoutAPause failed before. OddStore.UnreadableRepliesStopNothing passed before and guards the back-off, the data in use and the log for replies that cannot be read as a whole.

--- a/src/node/store_follower.cpp
+++ b/src/node/store_follower.cpp
@@ -117,6 +117,11 @@
     if (reply.status != platform::StoreStatus::kDone) {
       co_return false;
     }
+    if (reply.revision == 0) {
+      // The store's revision counter starts above 0.
+      UpdateHealth(platform::StoreStatus::kUnreadable);
+      co_return false;
+    }
     if (mList.revision == 0) {
       mList.revision = reply.revision;
     }
@@ -143,8 +148,10 @@
 StoreFollower::WatchOnce()
 {
   mWatchInterrupted = false;
-  auto reply = co_await mWatcher.Watch(
-    kAllKeys, mParams.knownRevision(), mParams.options.watchTime);
+  const auto known = mParams.knownRevision();
+  const auto start = Clock::now();
+  auto reply =
+    co_await mWatcher.Watch(kAllKeys, known, mParams.options.watchTime);
   if (mWatchInterrupted) {
     co_return true;
   }
@@ -158,9 +165,12 @@
   }
   LogSkipped(reply);
   mParams.onChanges(reply.items, reply.revision);
-  if (!reply.items.empty()) {
-    co_await Sleep(mParams.options.settleTime);
+  if (reply.revision <= known) {
+    // A watch that ended without changes right away must not be repeated at
+    // once.
+    co_return Clock::now() - start >= mParams.options.maxRetryDelay;
   }
+  co_await Sleep(mParams.options.settleTime);
   co_return true;
 }
 
--- a/tests/odd_entries_process_test.cpp
+++ b/tests/odd_entries_process_test.cpp
@@ -238,5 +238,33 @@
   EXPECT_TRUE(AllServe());
 }
 
+// Guards against a VM that ends, calls the store without a pause, or drops what
+// it has, while replies cannot be read, and against one that does not say so.
+TEST_F(OddStore, UnreadableRepliesStopNothing)
+{
+  ASSERT_TRUE(mFleet.Start());
+  mFleet.Store().SetFault(StoreFault::kUnreadable);
+  const auto calls = mFleet.Store().Calls();
+  std::this_thread::sleep_for(Milliseconds(2000));
+  EXPECT_TRUE(Serves(0));
+  EXPECT_LT(mFleet.Store().Calls() - calls, 16u);
+  EXPECT_TRUE(Logged(0, "cause=unreadable"));
+  mFleet.Store().SetFault(StoreFault::kNone);
+  EXPECT_TRUE(AllFollow());
+  EXPECT_TRUE(AllRun());
+}
+
+// Guards against calls without a pause if watches end at once without changes.
+TEST_F(OddStore, AHastyWatchIsNotRepeatedWithoutAPause)
+{
+  ASSERT_TRUE(mFleet.Start());
+  mFleet.Store().SetFault(StoreFault::kHastyWatch);
+  const auto calls = mFleet.Store().Calls();
+  std::this_thread::sleep_for(Milliseconds(2000));
+  EXPECT_TRUE(Serves(0));
+  EXPECT_LT(mFleet.Store().Calls() - calls, 16u);
+  EXPECT_TRUE(AllFollow());
+}
+
 } // namespace
 } // namespace magnoliatide::tests
