Keep a server whose entry is overwritten by an odd one

Seen: an odd write over the entry of a serving engine, or a list that contains one, took the engine away until its next heartbeat; with one engine, all its requests were refused.

Cause: an entry that cannot be decoded was logged as skipped but merged as a removal.

Now it changes nothing: the last valid entry counts until the next valid one or a removal.

OddStorePair.AnOddWriteOverAnEntryKeepsItsServer and OddStore.AListWithAnOddEntryKeepsItsServer failed before.

--- a/include/magnoliatide/fleet/directory.h
+++ b/include/magnoliatide/fleet/directory.h
@@ -18,7 +18,7 @@
 struct ServerEntry
 {
   std::string id;
-  std::optional<routing::Server> server; ///< Empty: removed, or invalid.
+  std::optional<routing::Server> server; ///< Empty: removed.
   std::uint64_t revision = 0;            ///< Store revision of this change.
 };
 
--- a/src/node/replica_service.cpp
+++ b/src/node/replica_service.cpp
@@ -169,6 +169,9 @@
   }
 }
 
+/// Applies a change of a server's entry. One that cannot be decoded comes from
+/// another writer and says nothing about the server, whose last valid entry
+/// counts until the next one or its removal.
 bool
 ReplicaService::ApplyServer(const wire::ReplicaItem& aItem)
 {
@@ -183,6 +186,7 @@
                             { { "key", aItem.key },
                               { "revision", aItem.revision },
                               { "problem", problem } });
+      return false;
     }
   }
   return mDirectory.MergeServer(entry, Clock::now());
--- a/tests/odd_entries_process_test.cpp
+++ b/tests/odd_entries_process_test.cpp
@@ -238,6 +238,68 @@
   EXPECT_TRUE(AllServe());
 }
 
+// Guards against an odd write over a good entry that takes a serving engine
+// away until its next heartbeat.
+TEST_F(OddStorePair, AnOddWriteOverAnEntryKeepsItsServer)
+{
+  ASSERT_TRUE(mFleet.Start());
+  ASSERT_TRUE(AllServe());
+  for (const auto& odd : OddEntries()) {
+    mFleet.Store().Put("servers/i-1", odd);
+  }
+  ASSERT_TRUE(AllFollow());
+  EXPECT_TRUE(AllServe());
+  // A valid write counts again, and so does a removal.
+  mFleet.WriteEntry(*mFleet.Engines()[0], true);
+  EXPECT_TRUE(AwaitTrue([&] { return Logged(0, "!i-1"); }));
+  mFleet.Store().Put("servers/i-1", "odd");
+  mFleet.Store().Remove("servers/i-1");
+  EXPECT_TRUE(
+    AwaitTrue([&] { return Logged(0, "-i-1") && Logged(1, "-i-1"); }));
+}
+
+// Guards against a list that removes a serving engine because the VM lost the
+// store's history while its entry is odd.
+TEST_F(OddStore, AListWithAnOddEntryKeepsItsServer)
+{
+  ASSERT_TRUE(mFleet.Start());
+  ASSERT_TRUE(Serves(0));
+  mFleet.Store().SetFault(StoreFault::kReset);
+  std::this_thread::sleep_for(Milliseconds(300));
+  mFleet.Store().Put("servers/i-1", "odd");
+  mFleet.Store().Put("servers/later", "odd");
+  mFleet.Store().Compact();
+  mFleet.Store().SetFault(StoreFault::kNone);
+  EXPECT_TRUE(AllFollow());
+  EXPECT_TRUE(Serves(0));
+}
+
+// Guards against a configuration that cannot be read and replaces or drops the
+// active one, or blocks a later one.
+TEST_F(OddStorePair, AnOddConfigurationKeepsTheActiveOne)
+{
+  ASSERT_TRUE(mFleet.Start());
+  ASSERT_TRUE(AllServe());
+  for (const std::string& odd :
+       { std::string("{"),
+         std::string(""),
+         "{\"version\":99," + ("\"routes\":" + Nested(100000)) + "}",
+         std::string("{\"version\":1e999,\"routes\":[]}"),
+         std::string("{\"version\":-1,\"routes\":[]}"),
+         std::string("{\"version\":99,\"routes\":{}}"),
+         std::string("{\"version\":99,\"routes\":[5,{},[],null]}") }) {
+    mFleet.Store().Put("op/config", odd);
+    std::this_thread::sleep_for(Milliseconds(200));
+  }
+  AddEngine("i-2");
+  EXPECT_TRUE(
+    AwaitTrue([&] { return Logged(0, "+i-2") && Logged(1, "+i-2"); }));
+  EXPECT_TRUE(AllServe());
+  EXPECT_TRUE(Serves(0, "/deposits/1"));
+  EXPECT_TRUE(Logged(0, "event=configuration-problem"));
+  EXPECT_TRUE(AllFollow());
+}
+
 // Guards against a VM that ends, calls the store without a pause, or drops what
 // it has, while replies cannot be read, and against one that does not say so.
 TEST_F(OddStore, UnreadableRepliesStopNothing)
