Keep giving orders after an engine's odd report

Seen: after an engine reported the generation -1 once, its VM gave no orders to any engine any more, without a log line; the process kept running.

Cause: the conversion of the number threw out of the loop, and a detached coroutine ends silently at an exception.

Now the report is decoded without exceptions and such a report is ignored.

OddOrders.AnOddReportDoesNotEndTheOrders failed before. The test of two VMs of which one is cut off from the store, with odd items larger than a datagram and a page, found no fault.

--- a/src/node/order_service.cpp
+++ b/src/node/order_service.cpp
@@ -3,9 +3,9 @@
 
 #include "magnoliatide/core/rendezvous.h"
 #include "magnoliatide/http/client.h"
+#include "platform/json_fields.h"
 
 #include <boost/asio.hpp>
-#include <boost/json.hpp>
 
 namespace magnoliatide::node {
 
@@ -110,17 +110,15 @@
       result.response.status != 200) {
     co_return std::nullopt;
   }
-  boost::system::error_code error;
-  const auto value = boost::json::parse(result.response.body, error);
-  const auto* object = error ? nullptr : value.if_object();
-  const auto* fencing = object ? object->if_contains("generation") : nullptr;
-  const auto* text = object ? object->if_contains("order") : nullptr;
-  if (fencing == nullptr || text == nullptr || !text->is_string() ||
-      !fencing->is_number()) {
+  const auto object = platform::ParseObject(result.response.body);
+  const auto fencing =
+    object ? platform::CountField(*object, "generation") : std::nullopt;
+  const auto text =
+    object ? platform::TextField(*object, "order") : std::nullopt;
+  if (!fencing || !text) {
     co_return std::nullopt;
   }
-  co_return orders::ReportedOrder{ fencing->to_number<std::uint64_t>(),
-                                   std::string(text->get_string()) };
+  co_return orders::ReportedOrder{ *fencing, *text };
 }
 
 } // namespace magnoliatide::node
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -34,6 +34,7 @@
   int crossedAnswers = 0; ///< Next answers with the id of another request.
   bool leaving = false;   ///< Answers have "X-Backend-State: leaving".
   bool unhealthy = false; ///< GET /health answers 503.
+  bool oddOrders = false; ///< Reports an order whose generation is -1.
   std::string crashOn;    ///< Prompts that contain this text end the process.
 };
 
@@ -318,11 +319,13 @@
   {
     const auto& request = aExchange.Incoming();
     if (request.method == "GET") {
-      co_await aExchange.Respond(http::JsonResponse(
+      const std::string generation =
+        mFaults.oddOrders ? "-1" : std::to_string(mOrderGeneration);
+      auto response = http::JsonResponse(
         200,
-        R"({"generation":)" + std::to_string(mOrderGeneration) +
-          R"(,"order":")" + mOrder + R"(","applied":)" +
-          std::to_string(mOrdersApplied) + "}"));
+        R"({"generation":)" + generation + R"(,"order":")" + mOrder +
+          R"(","applied":)" + std::to_string(mOrdersApplied) + "}");
+      co_await aExchange.Respond(std::move(response));
       co_return;
     }
     const auto number =
@@ -344,6 +347,8 @@
     mFaults.silent = NumberParameter(aRequest, "silent", mFaults.silent) != 0;
     mFaults.leaving =
       NumberParameter(aRequest, "leaving", mFaults.leaving) != 0;
+    mFaults.oddOrders =
+      NumberParameter(aRequest, "odd-orders", mFaults.oddOrders) != 0;
     mFaults.unhealthy =
       NumberParameter(aRequest, "unhealthy", mFaults.unhealthy) != 0;
     mFaults.silentAnswers = static_cast<int>(
--- a/tests/odd_entries_process_test.cpp
+++ b/tests/odd_entries_process_test.cpp
@@ -1,7 +1,9 @@
 // Guards against processes that end, or stop following the store, because
 // another writer left odd entries in it. Real VM processes run with test
 // doubles of the store and the servers.
+#include "network.h"
 #include "platform_fleet.h"
+#include "support.h"
 
 #include <gtest/gtest.h>
 
@@ -328,5 +330,69 @@
   EXPECT_TRUE(AllFollow());
 }
 
+// Guards against odd or large items that stop the exchange between VMs, of
+// which only one reaches the store.
+TEST(OddStoreCut, AVmWithoutTheStoreGetsTheOtherItemsFromItsPeer)
+{
+  load::Network network;
+  PlatformFleet fleet(NameOfTest(), { "kariakoo", "kariakoo" }, &network);
+  network.SetLinkMode("vm-2", "store", load::LinkMode::kReset);
+  standins::BatchEngineOptions options;
+  options.id = "i-1";
+  fleet.AddEngine(options);
+  fleet.PublishDefaultRoutes();
+  auto odd = OddEntries();
+  odd.push_back(std::string(700000, '\xff'));
+  const auto put = [&](const std::string& aPrefix) {
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+      fleet.Store().Put(aPrefix + std::to_string(i), odd[i]);
+    }
+  };
+  put("servers/before-");
+  ASSERT_TRUE(fleet.Start());
+  const auto serves = [&](std::size_t aVm) {
+    return fleet.Call(aVm, CallTo("/quotes/1")).response.status == 200;
+  };
+  EXPECT_TRUE(AwaitTrue([&] { return serves(0) && serves(1); }));
+  put("servers/during-");
+  fleet.Publish({ RouteConfig() }, { TeamConfig() });
+  EXPECT_TRUE(AwaitTrue([&] {
+    return fleet.Call(1, CallTo("/deposits/1")).response.status == 404;
+  }));
+  EXPECT_TRUE(serves(0));
+  EXPECT_TRUE(serves(1));
+  EXPECT_TRUE(fleet.Vms()[0].process.Running());
+  EXPECT_TRUE(fleet.Vms()[1].process.Running());
+  EXPECT_EQ(fleet.Log(1).find("from=store"), std::string::npos);
+}
+
+// Guards against a VM that silently stops giving orders because an engine
+// reported one whose number is out of range.
+TEST(OddOrders, AnOddReportDoesNotEndTheOrders)
+{
+  auto options = SmallFleet("odd-orders");
+  options.groups[0].managed = true;
+  load::Fleet fleet(options);
+  ASSERT_TRUE(fleet.Start());
+  const auto& engine = fleet.Backends()[0].address;
+  const auto reports = [&](const std::string& aText) {
+    const auto result = fleet.Get(engine, "/control/orders");
+    return result.response.body.find(aText) != std::string::npos;
+  };
+  ASSERT_TRUE(Await([&] { return reports("models:"); }, Seconds(10)));
+  fleet.SetFaults(engine, "odd-orders=1");
+  ASSERT_TRUE(reports("\"generation\":-1"));
+  std::this_thread::sleep_for(Milliseconds(2500));
+  fleet.SetFaults(engine, "odd-orders=0");
+  http::Request stale;
+  stale.method = "POST";
+  stale.target = "/control/orders?fencing=0&order=odd";
+  fleet.Call(engine, std::move(stale));
+  EXPECT_TRUE(Await([&] { return reports("models:"); }, Seconds(5)));
+  for (auto& vm : fleet.Vms()) {
+    EXPECT_TRUE(vm.process.Running()) << vm.name;
+  }
+}
+
 } // namespace
 } // namespace magnoliatide::tests
