Start control loops again after an exception

Detached coroutines end silently at an exception: a VM whose store loop met one would serve but follow nothing any more. The loops of the control plane now run through StartControlTask, which logs the exception as task-failed and starts the loop again after a second. No input is known that makes one of them throw.

--- a/src/node/claim_service.cpp
+++ b/src/node/claim_service.cpp
@@ -1,6 +1,8 @@
 // Claims of idempotency keys among the VMs.
 #include "claim_service.h"
 
+#include "control_task.h"
+
 #include "magnoliatide/core/digest.h"
 
 #include <boost/asio.hpp>
@@ -109,7 +111,7 @@
 void
 ClaimService::Start()
 {
-  asio::co_spawn(*mParams.loop, CopyLoop(), asio::detached);
+  StartControlTask(*mParams.loop, "copy-claims", [this] { return CopyLoop(); });
 }
 
 bool
--- a/src/node/config_service.cpp
+++ b/src/node/config_service.cpp
@@ -1,6 +1,8 @@
 // Keeps the active configuration document.
 #include "config_service.h"
 
+#include "control_task.h"
+
 #include "magnoliatide/core/digest.h"
 #include "magnoliatide/core/rendezvous.h"
 #include "magnoliatide/document/delta.h"
@@ -68,8 +70,9 @@
 void
 ConfigService::Start()
 {
-  asio::co_spawn(*mParams.loop, WatchConfig(), asio::detached);
-  asio::co_spawn(*mParams.loop, WatchVmList(), asio::detached);
+  StartControlTask(
+    *mParams.loop, "read-config", [this] { return WatchConfig(); });
+  StartControlTask(*mParams.loop, "read-vms", [this] { return WatchVmList(); });
 }
 
 wire::DocumentVersion
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -2,6 +2,7 @@
 // them share one event loop, because the VM has only a share of one processor.
 #include "magnoliatide/node/vm.h"
 
+#include "control_task.h"
 #include "dispatch_service.h"
 #include "local_dispatcher.h"
 #include "peer_link.h"
@@ -220,7 +221,8 @@
       });
     mReplicaService.Start();
     ApplyMembershipEvents();
-    asio::co_spawn(mLoop, RunHousekeeping(), asio::detached);
+    StartControlTask(
+      mLoop, "housekeeping", [this] { return RunHousekeeping(); });
   }
 
   void HandleDatagram(const wire::Header& aHeader,
--- a/src/node/order_service.cpp
+++ b/src/node/order_service.cpp
@@ -1,6 +1,8 @@
 // Sends orders to engines.
 #include "order_service.h"
 
+#include "control_task.h"
+
 #include "magnoliatide/core/rendezvous.h"
 #include "magnoliatide/http/client.h"
 #include "platform/json_fields.h"
@@ -30,7 +32,7 @@
 void
 OrderService::Start()
 {
-  asio::co_spawn(*mParams.loop, Loop(), asio::detached);
+  StartControlTask(*mParams.loop, "orders", [this] { return Loop(); });
 }
 
 bool
--- a/src/node/registry_vm.cpp
+++ b/src/node/registry_vm.cpp
@@ -5,6 +5,7 @@
 #include "admin_service.h"
 #include "claim_service.h"
 #include "config_service.h"
+#include "control_task.h"
 #include "notice_service.h"
 #include "order_service.h"
 #include "peer_link.h"
@@ -302,8 +303,10 @@
     mConfig.Start();
     mClaims.Start();
     mOrders.Start();
-    asio::co_spawn(mControlThread.At(0), TickLoop(), asio::detached);
-    asio::co_spawn(mControlThread.At(0), SyncLoop(), asio::detached);
+    StartControlTask(
+      mControlThread.At(0), "tick", [this] { return TickLoop(); });
+    StartControlTask(
+      mControlThread.At(0), "sync", [this] { return SyncLoop(); });
   }
 
   asio::awaitable<void> Sleep(Duration aDuration)
--- a/src/node/store_follower.cpp
+++ b/src/node/store_follower.cpp
@@ -1,6 +1,8 @@
 // One coroutine lists and watches the store, another one pings it.
 #include "store_follower.h"
 
+#include "control_task.h"
+
 #include "magnoliatide/core/digest.h"
 #include "magnoliatide/telemetry/log.h"
 
@@ -43,8 +45,8 @@
 void
 StoreFollower::Start()
 {
-  asio::co_spawn(*mParams.loop, Follow(), asio::detached);
-  asio::co_spawn(*mParams.loop, PingLoop(), asio::detached);
+  StartControlTask(*mParams.loop, "store-follow", [this] { return Follow(); });
+  StartControlTask(*mParams.loop, "store-ping", [this] { return PingLoop(); });
 }
 
 void
