Refuse a request that a VM sends to a VM as to a server

Seen: with an entry that gives a VM's own caller address, 5 of 20 calls got 401: the VMs sent them to the VM, which saw a request without the team's key, and callers don't retry a 401. On a route without keys the request would be sent round until its deadline.

Now a request whose Expect-Instance names a server with this VM's address in the store gets 421, as from any other engine, so the sending VM uses another server and counts that one as leaving. Other values of the header are ignored as before.

OddStorePair.AnEntryWithTheAddressOfAVmIsHarmless failed before.

--- a/include/magnoliatide/forward/call.h
+++ b/include/magnoliatide/forward/call.h
@@ -39,6 +39,8 @@
   std::optional<Duration> callerTimeout; ///< How long the caller waits.
   std::optional<Generation> generation;
   std::string lastEventId; ///< Last event that the caller received.
+  /// The only server that may run it, if another VM sent it; not forwarded.
+  std::string expectedServer;
   std::string problem;     ///< Why the request is invalid; empty if valid.
   http::Request request;   ///< To be forwarded, without hop-by-hop headers.
 };
@@ -80,6 +82,7 @@
   kOverloaded, ///< It could not be served in time.
   kExpired,    ///< Its deadline passed before it was sent.
   kHarmful,    ///< It is suspected of crashing the servers that ran it.
+  kNotAServer, ///< A VM took this VM for a server, by an odd entry.
   kLost,       ///< It may have run; no complete answer arrived.
   kTimedOut,   ///< It may have run; its deadline passed.
 };
--- a/include/magnoliatide/forward/forwarder.h
+++ b/include/magnoliatide/forward/forwarder.h
@@ -46,6 +46,8 @@
   std::function<std::uint64_t()> serversRevision;
   /// Returns whether a server still accepts new requests.
   std::function<bool(const routing::Server&)> usable;
+  /// Returns whether the entry of a server gives this VM's own address.
+  std::function<bool(const std::string& aServer)> isOwnAddress;
 };
 
 /// Forwards requests to the servers that the dispatcher selects. Used on one
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -50,12 +50,28 @@
   void WatchForCancellation(const RequestPointer& aRequest);
   void Cancel(Request& aRequest);
   void CountRequestEnd(const Request& aRequest, const char* aOutcome);
+  std::optional<Refusal> RefuseAsServer(const Call& aCall) const;
   void LogRefusal(const Request& aRequest, const Refusal& aRefusal) const;
 
   ForwarderParams params;
   std::uint64_t lastId = 0;
 };
 
+/// Refuses a request that a VM sent here because the entry of a server gives
+/// this VM's address. The answer makes that VM use another server.
+std::optional<Refusal>
+Forwarder::Core::RefuseAsServer(const Call& aCall) const
+{
+  if (aCall.expectedServer.empty() || !params.isOwnAddress ||
+      !params.isOwnAddress(aCall.expectedServer)) {
+    return std::nullopt;
+  }
+  Refusal refusal;
+  refusal.kind = RefusalKind::kNotAServer;
+  refusal.message = "this VM is not the server " + aCall.expectedServer;
+  return refusal;
+}
+
 asio::awaitable<void>
 Forwarder::Core::Handle(http::Exchange& aExchange)
 {
@@ -64,7 +80,10 @@
   auto request = std::make_shared<Request>(executor, aExchange);
   request->call = params.dialect->DecodeCall(aExchange.Incoming());
   request->table = params.table->Load();
-  auto refusal = Classify(*request, now);
+  auto refusal = RefuseAsServer(request->call);
+  if (!refusal) {
+    refusal = Classify(*request, now);
+  }
   if (refusal) {
     co_await Refuse(request, std::move(*refusal));
     co_return;
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -132,6 +132,12 @@
       RecordLeaving(aNotice);
     };
     params.serversRevision = [this] { return mReplicaService.Revision(); };
+    params.isOwnAddress = [this](const std::string& aServer) {
+      const auto roster = mReplicaService.Roster();
+      const auto found = roster->find(aServer);
+      return found != roster->end() &&
+             found->second.address == mSettings.callerAddress;
+    };
     params.usable = [this](const routing::Server& aServer) {
       const auto roster = mReplicaService.Roster();
       const auto found = roster->find(aServer.id);
--- a/tests/odd_entries_process_test.cpp
+++ b/tests/odd_entries_process_test.cpp
@@ -366,6 +366,28 @@
   EXPECT_EQ(fleet.Log(1).find("from=store"), std::string::npos);
 }
 
+// Guards against VMs that send requests to themselves, again and again, because
+// an entry has the address of one.
+TEST_F(OddStorePair, AnEntryWithTheAddressOfAVmIsHarmless)
+{
+  ASSERT_TRUE(mFleet.Start());
+  ASSERT_TRUE(AllServe());
+  for (std::size_t i = 0; i < mFleet.Vms().size(); ++i) {
+    mFleet.Store().Put(
+      "servers/self-" + std::to_string(i),
+      EntryWith("address",
+                "\"" + document::Format(mFleet.Vms()[i].callerAddress) + "\""));
+  }
+  std::this_thread::sleep_for(Milliseconds(700));
+  int served = 0;
+  for (int i = 0; i < 20; ++i) {
+    served += Serves(static_cast<std::size_t>(i % 2)) ? 1 : 0;
+  }
+  EXPECT_EQ(served, 20);
+  EXPECT_TRUE(AllRun());
+  EXPECT_TRUE(AllFollow());
+}
+
 // Guards against a VM that silently stops giving orders because an engine
 // reported one whose number is out of range.
 TEST(OddOrders, AnOddReportDoesNotEndTheOrders)
