Escape the label values of metrics

Seen: a server whose id contains a quote, from an odd key in the store, made the line of its metric invalid.

Now label values are escaped as the text format requires.

Metrics.EscapesLabelValues failed before.

--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -48,6 +48,24 @@
 using Latencies =
   oneapi::tbb::concurrent_hash_map<std::string, std::shared_ptr<Latency>>;
 
+/// Returns a label as `name="value"`, escaped as the text format requires.
+std::string
+LabelText(const Label& aLabel)
+{
+  std::string text = std::string(aLabel.name) + "=\"";
+  for (const char c : std::string_view(aLabel.value)) {
+    if (c == '"' || c == '\\') {
+      text += '\\';
+    }
+    if (c == '\n') {
+      text += "\\n";
+    } else {
+      text += c;
+    }
+  }
+  return text + '"';
+}
+
 /// Returns the name and labels of a series, such as `name{label="value"}`.
 std::string
 SeriesName(std::string_view aName, const std::vector<Label>& aLabels)
@@ -56,10 +74,7 @@
   char separator = '{';
   for (const auto& label : aLabels) {
     text += separator;
-    text += label.name;
-    text += "=\"";
-    text += label.value;
-    text += '"';
+    text += LabelText(label);
     separator = ',';
   }
   if (separator == ',') {
@@ -183,8 +198,7 @@
 void
 Metrics::RemoveSeries(const Label& aLabel)
 {
-  const std::string text =
-    std::string(aLabel.name) + "=\"" + std::string(aLabel.value) + '"';
+  const auto text = LabelText(aLabel);
   std::vector<std::string> removed;
   for (const auto& [series, value] : mStore->counters) {
     if (series.find(text) != std::string::npos) {
--- a/src/telemetry/metrics_test.cpp
+++ b/src/telemetry/metrics_test.cpp
@@ -1,4 +1,5 @@
-// Tests that the series of departed servers are removed from Metrics.
+// Tests that the series of departed servers are removed from Metrics, and that
+// their names are escaped.
 #include "magnoliatide/telemetry/metrics.h"
 
 #include <gtest/gtest.h>
@@ -35,5 +36,18 @@
   EXPECT_EQ(metrics.Value("sends_total", { { "server", "i-11" } }), 1u);
 }
 
+// Guards against a name from another program that makes the metrics unreadable.
+TEST(Metrics, EscapesLabelValues)
+{
+  Metrics metrics;
+  const std::string odd = "a\"} 1\n\\b";
+  metrics.Count("sends_total", { { "server", odd } });
+  EXPECT_NE(metrics.Render().find(R"(sends_total{server="a\"} 1\n\\b"} 1)"),
+            std::string::npos)
+    << metrics.Render();
+  metrics.RemoveSeries({ "server", odd });
+  EXPECT_EQ(metrics.Value("sends_total", { { "server", odd } }), 0u);
+}
+
 } // namespace
 } // namespace magnoliatide::telemetry
