Count a value that VMs can't pass on as unreadable

Seen: with one value of 3 MB in the store, a VM without access to the store got nothing any more from its peers: a string in a message has at most 2 MiB, so the page that contains the value was malformed on each attempt.

Now a larger value counts as unreadable when it is read from the store. The operators' store limits values (value-bytes), so this takes nothing from valid ones.

OddStoreCut.AVmWithoutTheStoreGetsTheOtherItemsFromItsPeer failed with the new value before.

--- a/include/magnoliatide/wire/codec.h
+++ b/include/magnoliatide/wire/codec.h
@@ -20,6 +20,9 @@
 /// Maximum size of a frame, the message unit on TCP connections.
 constexpr std::size_t kMaxFrameBytes = 4 * 1024 * 1024;
 
+/// Maximum size of a string in a message.
+constexpr std::size_t kMaxStringBytes = 2 * 1024 * 1024;
+
 /// A named HMAC key.
 struct Key
 {
--- a/src/node/replica_service.cpp
+++ b/src/node/replica_service.cpp
@@ -4,6 +4,7 @@
 #include "magnoliatide/core/digest.h"
 #include "magnoliatide/routing/change.h"
 #include "magnoliatide/telemetry/log.h"
+#include "magnoliatide/wire/codec.h"
 #include "platform/store_values.h"
 
 #include <boost/asio.hpp>
@@ -44,6 +45,8 @@
 /// link transfers a page well within kFetchTimeout.
 constexpr std::size_t kPageBytes = 64 * 1024;
 
+static_assert(platform::kMaxValueBytes <= wire::kMaxStringBytes);
+
 std::vector<wire::ReplicaItem>
 ItemsOf(const std::vector<platform::StoreItem>& aItems)
 {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr std::size_t kDigestBytes = 16; ///< Size of the truncated HMAC.
-constexpr std::size_t kMaxStringBytes = 2 * 1024 * 1024;
 constexpr std::size_t kMaxListItems = 8192;
 /// Processes whose sequence numbers a ReplayFilter tracks.
 constexpr std::size_t kMaxProcesses = 4096;
--- a/tests/odd_entries_process_test.cpp
+++ b/tests/odd_entries_process_test.cpp
@@ -343,6 +343,8 @@
   fleet.PublishDefaultRoutes();
   auto odd = OddEntries();
   odd.push_back(std::string(700000, '\xff'));
+  // Larger than a string between VMs may be.
+  odd.push_back(std::string(3000000, 'x'));
   const auto put = [&](const std::string& aPrefix) {
     for (std::size_t i = 0; i < odd.size(); ++i) {
       fleet.Store().Put(aPrefix + std::to_string(i), odd[i]);
