--- a/include/magnoliatide/forward/call.h
+++ b/include/magnoliatide/forward/call.h
@@ -41,8 +41,8 @@
   std::string lastEventId; ///< Last event that the caller received.
   /// The only server that may run it, if another VM sent it; not forwarded.
   std::string expectedServer;
-  std::string problem;     ///< Why the request is invalid; empty if valid.
-  http::Request request;   ///< To be forwarded, without hop-by-hop headers.
+  std::string problem;   ///< Why the request is invalid; empty if valid.
+  http::Request request; ///< To be forwarded, without hop-by-hop headers.
 };
 
 /// What is added to a request for one send to a server.
