--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -3,6 +3,7 @@
 #include "magnoliatide/node/vm.h"
 
 #include "connection_record.h"
+#include "control_task.h"
 #include "dispatch_service.h"
 #include "local_dispatcher.h"
 #include "peer_link.h"
@@ -136,6 +137,12 @@
       RecordLeaving(aNotice);
     };
     params.serversRevision = [this] { return mReplicaService.Revision(); };
+    params.isOwnAddress = [this](const std::string& aServer) {
+      const auto roster = mReplicaService.Roster();
+      const auto found = roster->find(aServer);
+      return found != roster->end() &&
+             found->second.address == mSettings.callerAddress;
+    };
     params.usable = [this](const routing::Server& aServer) {
       const auto roster = mReplicaService.Roster();
       const auto found = roster->find(aServer.id);
@@ -225,7 +232,8 @@
       });
     mReplicaService.Start();
     ApplyMembershipEvents();
-    asio::co_spawn(mLoop, RunHousekeeping(), asio::detached);
+    StartControlTask(
+      mLoop, "housekeeping", [this] { return RunHousekeeping(); });
   }
 
   void HandleDatagram(const wire::Header& aHeader,
--- a/src/node/replica_service.cpp
+++ b/src/node/replica_service.cpp
@@ -4,6 +4,7 @@
 #include "magnoliatide/core/digest.h"
 #include "magnoliatide/routing/change.h"
 #include "magnoliatide/telemetry/log.h"
+#include "magnoliatide/wire/codec.h"
 #include "platform/store_values.h"
 
 #include <boost/asio.hpp>
@@ -44,6 +45,8 @@
 /// link transfers a page well within kFetchTimeout.
 constexpr std::size_t kPageBytes = 64 * 1024;
 
+static_assert(platform::kMaxValueBytes <= wire::kMaxStringBytes);
+
 std::vector<wire::ReplicaItem>
 ItemsOf(const std::vector<platform::StoreItem>& aItems)
 {
@@ -169,6 +172,9 @@
   }
 }
 
+/// Applies a change of a server's entry. One that cannot be decoded comes from
+/// another writer and says nothing about the server, whose last valid entry
+/// counts until the next one or its removal.
 bool
 ReplicaService::ApplyServer(const wire::ReplicaItem& aItem)
 {
@@ -183,6 +189,7 @@
                             { { "key", aItem.key },
                               { "revision", aItem.revision },
                               { "problem", problem } });
+      return false;
     }
   }
   return mDirectory.MergeServer(entry, Clock::now());
--- a/src/node/store_follower.cpp
+++ b/src/node/store_follower.cpp
@@ -1,6 +1,8 @@
 // One coroutine lists and watches the store, another one pings it.
 #include "store_follower.h"
 
+#include "control_task.h"
+
 #include "magnoliatide/core/digest.h"
 #include "magnoliatide/telemetry/log.h"
 
@@ -43,8 +45,8 @@
 void
 StoreFollower::Start()
 {
-  asio::co_spawn(*mParams.loop, Follow(), asio::detached);
-  asio::co_spawn(*mParams.loop, PingLoop(), asio::detached);
+  StartControlTask(*mParams.loop, "store-follow", [this] { return Follow(); });
+  StartControlTask(*mParams.loop, "store-ping", [this] { return PingLoop(); });
 }
 
 void
@@ -117,6 +119,11 @@
     if (reply.status != platform::StoreStatus::kDone) {
       co_return false;
     }
+    if (reply.revision == 0) {
+      // The store's revision counter starts above 0.
+      UpdateHealth(platform::StoreStatus::kUnreadable);
+      co_return false;
+    }
     if (mList.revision == 0) {
       mList.revision = reply.revision;
     }
@@ -143,8 +150,10 @@
 StoreFollower::WatchOnce()
 {
   mWatchInterrupted = false;
-  auto reply = co_await mWatcher.Watch(
-    kAllKeys, mParams.knownRevision(), mParams.options.watchTime);
+  const auto known = mParams.knownRevision();
+  const auto start = Clock::now();
+  auto reply =
+    co_await mWatcher.Watch(kAllKeys, known, mParams.options.watchTime);
   if (mWatchInterrupted) {
     co_return true;
   }
@@ -158,9 +167,12 @@
   }
   LogSkipped(reply);
   mParams.onChanges(reply.items, reply.revision);
-  if (!reply.items.empty()) {
-    co_await Sleep(mParams.options.settleTime);
+  if (reply.revision <= known) {
+    // A watch that ended without changes right away must not be repeated at
+    // once.
+    co_return Clock::now() - start >= mParams.options.maxRetryDelay;
   }
+  co_await Sleep(mParams.options.settleTime);
   co_return true;
 }
 
@@ -215,8 +227,7 @@
                             { "revision", aReply.revision },
                             { "problem",
                               std::to_string(aReply.skipped) +
-                                " entries have no key, no revision or a value "
-                                "that is not base64" } });
+                                " entries have no key or no revision" } });
   }
 }
 
