Bound every response of the HTTP client, and skip interim ones

Callers saw a 100 or 103 of a server as the final answer, a 101 and a 999 as statuses, a closed connection for a TRACE with a body; calls to servers and to the store lasted as long as bytes came.

Cause: Beast's parser ends at an interim head; each read had a timeout of its own; its message types throw for long fields and for a TRACE with a body; the buffer of unparsed bytes had no limit (chunk sizes, extensions, trailers).

Change: interim responses are skipped, 16 at most, within one timeout; 101 and statuses outside 200 to 599 are no response. Requests are formatted without Beast. Unparsed bytes (32 KB) and framing bytes (1 MB) of a response are limited, and what was received is parsed in one step instead of one operation a chunk. ReadRest() can count a body against 32 MB for all bodies; SkipRest() keeps nothing.

PlatformFleet::CallAndLeave() now leaves after a time, also in the middle of an answer; before, it left only when nothing arrived for that time.

--- a/include/magnoliatide/http/client.h
+++ b/include/magnoliatide/http/client.h
@@ -20,12 +20,36 @@
 {
   kDone,          ///< The operation succeeded.
   kNotSent,       ///< No byte of the request was written.
-  kCut,           ///< The connection was lost after a byte was sent.
+  kCut,           ///< After a byte was sent, the connection was lost or bytes
+                  ///< came that are no response.
   kSilent,        ///< Timeout after a byte was sent.
-  kTooLarge,      ///< The body exceeds the maximum size.
+  kTooLarge,      ///< The body exceeds the maximum size, or the memory for
+                  ///< bodies is used up.
   kClosedLocally, ///< Close() was called.
 };
 
+/// A share of the memory that all bodies that callers wait for may use together
+/// in this process. Returned when the object is destroyed.
+class BodyMemory
+{
+public:
+  BodyMemory() = default;
+  ~BodyMemory();
+  BodyMemory(const BodyMemory&) = delete;
+  BodyMemory& operator=(const BodyMemory&) = delete;
+
+  /// Enlarges the share to the size of a body. Returns false if the memory is
+  /// used up. Small bodies are not counted, so that large ones cannot displace
+  /// them.
+  bool Cover(std::size_t aBodyBytes);
+
+  /// Returns the share.
+  void Clear();
+
+private:
+  std::size_t mTaken = 0;
+};
+
 /// A connection that carries one request at a time. It may be used only on the
 /// event loop that it was created on.
 class ClientConnection
@@ -40,6 +64,10 @@
   /// peer's host.
   virtual bool ConnectTimedOut() const = 0;
 
+  /// Sets a time at which every operation ends with kSilent, whatever its own
+  /// timeout. It applies until it is set again.
+  virtual void EndBy(TimePoint aTime) = 0;
+
   /// Writes as much of a request as the socket's buffer holds. The remainder is
   /// written in the background while the response is read, since a server may
   /// respond before it has read a long body.
@@ -49,7 +77,10 @@
   virtual boost::asio::awaitable<CallStatus> Send(Request aRequest,
                                                   Duration aTimeout) = 0;
 
-  /// Reads the status and headers of the response into aHead.
+  /// Reads the status and headers of the response into aHead. Interim responses
+  /// are skipped.
+  ///
+  /// @param aTimeout How long to wait for the complete headers.
   virtual boost::asio::awaitable<CallStatus> ReadHead(Response& aHead,
                                                       Duration aTimeout) = 0;
 
@@ -63,10 +94,22 @@
 
   /// Reads the rest of the body.
   ///
-  /// @param aTimeout How long to wait for each read, not for the whole body.
+  /// @param aTimeout How long to wait for each read, not for the whole body;
+  ///     EndBy() limits the whole.
+  /// @param aMemory Receives the share of memory that the body uses. Without
+  ///     it, the body is not counted.
+  /// @return kTooLarge if the rest exceeds aMaxBytes.
+  virtual boost::asio::awaitable<CallStatus> ReadRest(
+    std::string& aBody,
+    std::size_t aMaxBytes,
+    Duration aTimeout,
+    BodyMemory* aMemory = nullptr) = 0;
+
+  /// Reads the rest of the body without keeping it.
+  ///
+  /// @param aTimeout How long to wait for the whole.
   /// @return kTooLarge if the rest exceeds aMaxBytes.
-  virtual boost::asio::awaitable<CallStatus> ReadRest(std::string& aBody,
-                                                      std::size_t aMaxBytes,
+  virtual boost::asio::awaitable<CallStatus> SkipRest(std::size_t aMaxBytes,
                                                       Duration aTimeout) = 0;
 
   /// Returns whether the response is complete and the connection can carry
@@ -106,8 +149,7 @@
 
 /// Makes one call on a new connection, which is closed afterwards.
 ///
-/// @param aTimeout How long to wait for the connection, for the headers of the
-/// response and for each read of its body. The whole call may take longer.
+/// @param aTimeout How long the whole call may take.
 boost::asio::awaitable<CallResult>
 Call(document::Endpoint aPeer,
      Request aRequest,
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 // The HTTP client connection, implemented with Boost.Beast.
 #include "magnoliatide/http/client.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -9,6 +10,8 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <optional>
 
 namespace magnoliatide::http {
@@ -22,9 +25,29 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
-/// Size of the buffer for one read of the body.
+/// Size of one read.
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
+/// Bytes of one connection that are received but not parsed. Also bounds what
+/// the parser needs at once: a chunk's size line or the trailers.
+constexpr std::size_t kMaxUnparsedBytes = 32 * 1024;
 constexpr std::uint64_t kMaxResponseBytes = 64 * 1024 * 1024;
+/// Maximum size of the body of a Call().
+constexpr std::size_t kMaxCallBytes = 16 * 1024 * 1024;
+/// Bytes of one response that frame its body: sizes and extensions of chunks,
+/// and trailers.
+constexpr std::size_t kMaxFramingBytes = 1024 * 1024;
+/// Interim responses before the final one.
+constexpr int kMaxInterimResponses = 16;
+/// Memory for all counted bodies together, beyond kUncountedBodyBytes each.
+constexpr std::size_t kMaxBodyMemory = 32 * 1024 * 1024;
+constexpr std::size_t kUncountedBodyBytes = 16 * 1024;
+
+std::atomic<std::size_t> sBodyMemory{ 0 };
+
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxStatus = 599;
 
 /// Sets TCP keepalive and TCP_USER_TIMEOUT so that the operating system closes
 /// a connection whose peer leaves packets unacknowledged. The idle time before
@@ -49,22 +72,41 @@
   set(IPPROTO_TCP, TCP_USER_TIMEOUT, millis);
 }
 
-/// Serializes a request.
+bool
+HasBody(const Request& aRequest)
+{
+  constexpr std::array kMethodsWithBody = { "POST", "PUT", "OPTIONS" };
+  return !aRequest.body.empty() ||
+         std::any_of(
+           kMethodsWithBody.begin(),
+           kMethodsWithBody.end(),
+           [&](const char* aName) { return aRequest.method == aName; });
+}
+
+/// Formats a request. Does not restrict its parts, unlike the message types of
+/// Beast, which throw exceptions for long fields and some bodies.
 std::string
-Serialize(const bhttp::request<bhttp::string_body>& aMessage)
+Serialize(const Request& aRequest, const document::Endpoint& aPeer)
 {
-  std::string bytes;
-  bhttp::request_serializer<bhttp::string_body> serializer{ aMessage };
-  ErrorCode error;
-  while (!serializer.is_done() && !error) {
-    serializer.next(error, [&](ErrorCode&, const auto& aBuffers) {
-      const auto size = asio::buffer_size(aBuffers);
-      const auto end = bytes.size();
-      bytes.resize(end + size);
-      asio::buffer_copy(asio::buffer(&bytes[end], size), aBuffers);
-      serializer.consume(size);
-    });
+  const auto is = [](const Header& aHeader, const char* aName) {
+    return boost::algorithm::iequals(aHeader.name, aName);
+  };
+  std::string bytes = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
+  if (std::none_of(aRequest.headers.begin(),
+                   aRequest.headers.end(),
+                   [&](const auto& aHeader) { return is(aHeader, "Host"); })) {
+    bytes += "Host: " + document::Format(aPeer) + "\r\n";
+  }
+  for (const auto& header : aRequest.headers) {
+    if (!is(header, "Content-Length") && !is(header, "Transfer-Encoding")) {
+      bytes += header.name + ": " + header.value + "\r\n";
+    }
   }
+  if (HasBody(aRequest)) {
+    bytes += "Content-Length: " + std::to_string(aRequest.body.size()) + "\r\n";
+  }
+  bytes += "\r\n";
+  bytes += aRequest.body;
   return bytes;
 }
 
@@ -92,13 +134,16 @@
     const tcp::endpoint peer(host, mPeer.port);
     mStream.socket().open(peer.protocol(), error);
     if (!mOptions.localHost.empty()) {
-      mStream.socket().bind({ asio::ip::make_address(mOptions.localHost), 0 },
-                            error);
+      const auto local = asio::ip::make_address(mOptions.localHost, error);
+      if (error) {
+        co_return false;
+      }
+      mStream.socket().bind({ local, 0 }, error);
     }
     if (mOptions.deadPeerTimeout > Duration::zero()) {
       SetDeadPeerTimeout(mStream.socket(), mOptions.deadPeerTimeout);
     }
-    mStream.expires_after(aTimeout);
+    mStream.expires_at(EndOf(aTimeout));
     const auto [connectError] = co_await mStream.async_connect(peer, kNoThrow);
     if (!connectError) {
       mStream.socket().set_option(tcp::no_delay(true), error);
@@ -109,24 +154,15 @@
 
   bool ConnectTimedOut() const override { return mConnectTimedOut; }
 
+  void EndBy(TimePoint aTime) override { mEnd = aTime; }
+
   asio::awaitable<CallStatus> Send(Request aRequest, Duration aTimeout) override
   {
     mResponseComplete = false;
     mParser.reset();
-    bhttp::request<bhttp::string_body> message;
-    message.method_string(aRequest.method);
-    message.target(aRequest.target);
-    message.version(11);
-    for (const auto& header : aRequest.headers) {
-      message.insert(header.name, header.value);
-    }
-    if (message.count(bhttp::field::host) == 0) {
-      message.set(bhttp::field::host, document::Format(mPeer));
-    }
-    message.body() = std::move(aRequest.body);
-    message.prepare_payload();
+    mParseError = {};
     mIsHeadRequest = aRequest.method == "HEAD";
-    mOutgoing = Serialize(message);
+    mOutgoing = Serialize(aRequest, mPeer);
     static_cast<void>(aTimeout);
     ErrorCode error;
     mStream.socket().non_blocking(true, error);
@@ -145,30 +181,38 @@
   asio::awaitable<CallStatus> ReadHead(Response& aHead,
                                        Duration aTimeout) override
   {
-    mParser.emplace();
-    mParser->body_limit(kMaxResponseBytes);
-    mParser->skip(mIsHeadRequest);
-    mStream.expires_after(aTimeout);
-    const auto [error, bytes] =
-      co_await bhttp::async_read_header(mStream, mBuffer, *mParser, kNoThrow);
-    static_cast<void>(bytes);
-    if (error) {
-      co_return HandleError(error);
-    }
-    const auto& message = mParser->get();
-    aHead.status = static_cast<int>(message.result_int());
-    aHead.headers.clear();
-    for (const auto& field : message) {
-      aHead.headers.push_back(
-        { std::string(field.name_string()), std::string(field.value()) });
+    mFramingBytes = 0;
+    mStream.expires_at(EndOf(aTimeout));
+    // Reads are as large as the capacity.
+    mBuffer.reserve(kReadBufferBytes);
+    for (int i = 0; i <= kMaxInterimResponses; ++i) {
+      mParser.emplace();
+      mParser->body_limit(kMaxResponseBytes);
+      mParser->skip(mIsHeadRequest);
+      const auto [error, bytes] =
+        co_await bhttp::async_read_header(mStream, mBuffer, *mParser, kNoThrow);
+      static_cast<void>(bytes);
+      if (error) {
+        co_return HandleError(error);
+      }
+      const auto status = mParser->get().result_int();
+      if (status >= kMinFinalStatus && status <= kMaxStatus) {
+        CopyHead(aHead);
+        co_return CallStatus::kDone;
+      }
+      if (status < kMinStatus || status > kMaxStatus ||
+          status == kSwitchingProtocols) {
+        break;
+      }
     }
-    co_return CallStatus::kDone;
+    co_return HandleError(bhttp::error::bad_status);
   }
 
   asio::awaitable<CallStatus> ReadSome(std::string& aBytes,
                                        Duration aTimeout) override
   {
     aBytes.clear();
+    mStream.expires_at(EndOf(aTimeout));
     while (aBytes.empty()) {
       if (mParser->is_done()) {
         const bool framed = !mParser->need_eof();
@@ -176,26 +220,33 @@
         co_return framed || mOptions.allowCloseDelimited ? CallStatus::kDone
                                                          : CallStatus::kCut;
       }
+      if (mParseError) {
+        co_return HandleError(mParseError);
+      }
       mReadBuffer.resize(kReadBufferBytes);
       auto& body = mParser->get().body();
       body.data = mReadBuffer.data();
       body.size = mReadBuffer.size();
       body.more = true;
-      mStream.expires_after(aTimeout);
       const auto [error, bytes] =
         co_await bhttp::async_read_some(mStream, mBuffer, *mParser, kNoThrow);
-      static_cast<void>(bytes);
       if (error && error != bhttp::error::need_buffer) {
         co_return HandleError(error);
       }
+      const auto parsed = bytes + ParseReceived();
       aBytes.assign(mReadBuffer.data(), mReadBuffer.size() - body.size);
+      mFramingBytes += parsed - aBytes.size();
+      if (mFramingBytes > kMaxFramingBytes) {
+        co_return HandleError(bhttp::error::bad_chunk);
+      }
     }
     co_return CallStatus::kDone;
   }
 
   asio::awaitable<CallStatus> ReadRest(std::string& aBody,
                                        std::size_t aMaxBytes,
-                                       Duration aTimeout) override
+                                       Duration aTimeout,
+                                       BodyMemory* aMemory) override
   {
     aBody.clear();
     std::string chunk;
@@ -207,13 +258,32 @@
       if (chunk.empty()) {
         co_return CallStatus::kDone;
       }
-      if (aBody.size() + chunk.size() > aMaxBytes) {
+      const auto size = aBody.size() + chunk.size();
+      if (size > aMaxBytes || (aMemory && !aMemory->Cover(size))) {
         co_return CallStatus::kTooLarge;
       }
       aBody += chunk;
     }
   }
 
+  asio::awaitable<CallStatus> SkipRest(std::size_t aMaxBytes,
+                                       Duration aTimeout) override
+  {
+    const TimePoint end = EndOf(aTimeout);
+    std::size_t skipped = 0;
+    std::string chunk;
+    while (true) {
+      const auto status = co_await ReadSome(chunk, end - Clock::now());
+      if (status != CallStatus::kDone || chunk.empty()) {
+        co_return status;
+      }
+      skipped += chunk.size();
+      if (skipped > aMaxBytes) {
+        co_return CallStatus::kTooLarge;
+      }
+    }
+  }
+
   bool Reusable() override
   {
     if (!mResponseComplete || !mParser || !mParser->get().keep_alive() ||
@@ -234,6 +304,44 @@
   }
 
 private:
+  /// Returns when an operation with a timeout ends.
+  TimePoint EndOf(Duration aTimeout) const
+  {
+    return std::min(Clock::now() + aTimeout, mEnd);
+  }
+
+  void CopyHead(Response& aHead) const
+  {
+    const auto& message = mParser->get();
+    aHead.status = static_cast<int>(message.result_int());
+    aHead.headers.clear();
+    for (const auto& field : message) {
+      aHead.headers.push_back(
+        { std::string(field.name_string()), std::string(field.value()) });
+    }
+  }
+
+  /// Parses what was received already, as far as it fits into the read buffer.
+  /// One operation for each chunk would make small chunks expensive. Returns
+  /// the number of bytes.
+  std::size_t ParseReceived()
+  {
+    const auto& body = mParser->get().body();
+    std::size_t parsed = 0;
+    ErrorCode error;
+    while (!error && !mParser->is_done() && body.size > 0 &&
+           mBuffer.size() > 0) {
+      const auto bytes = mParser->put(mBuffer.data(), error);
+      mBuffer.consume(bytes);
+      parsed += bytes;
+    }
+    if (error && error != bhttp::error::need_more &&
+        error != bhttp::error::need_buffer) {
+      mParseError = error;
+    }
+    return parsed;
+  }
+
   void WriteRemaining(std::size_t aFrom)
   {
     mWriting = true;
@@ -263,10 +371,13 @@
   beast::tcp_stream mStream;
   document::Endpoint mPeer;
   ConnectionOptions mOptions;
-  beast::flat_buffer mBuffer;
+  TimePoint mEnd = TimePoint::max(); ///< Ends every operation.
+  beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   std::string mOutgoing;
   std::optional<bhttp::response_parser<bhttp::buffer_body>> mParser;
   std::vector<char> mReadBuffer;
+  std::size_t mFramingBytes = 0; ///< Of chunks and trailers, in one response.
+  ErrorCode mParseError; ///< Of the bytes after those that were returned.
   /// Whether the last request was written completely, and its response was read
   /// to the end that its length or its last chunk gives.
   bool mResponseComplete = false;
@@ -280,6 +391,34 @@
 
 } // namespace
 
+BodyMemory::~BodyMemory()
+{
+  Clear();
+}
+
+bool
+BodyMemory::Cover(std::size_t aBodyBytes)
+{
+  const auto needed = aBodyBytes - std::min(aBodyBytes, kUncountedBodyBytes);
+  if (needed <= mTaken) {
+    return true;
+  }
+  const auto more = needed - mTaken;
+  if (sBodyMemory.fetch_add(more) + more > kMaxBodyMemory) {
+    sBodyMemory.fetch_sub(more);
+    return false;
+  }
+  mTaken = needed;
+  return true;
+}
+
+void
+BodyMemory::Clear()
+{
+  sBodyMemory.fetch_sub(mTaken);
+  mTaken = 0;
+}
+
 std::shared_ptr<ClientConnection>
 MakeConnection(asio::any_io_executor aExecutor,
                const document::Endpoint& aPeer,
@@ -300,6 +439,7 @@
   ConnectionOptions options;
   options.localHost = std::move(aLocalHost);
   auto connection = MakeConnection(executor, aPeer, std::move(options));
+  connection->EndBy(Clock::now() + aTimeout);
   if (!co_await connection->Connect(aTimeout)) {
     co_return result;
   }
@@ -310,7 +450,7 @@
   }
   if (result.status == CallStatus::kDone) {
     result.status = co_await connection->ReadRest(
-      result.response.body, kMaxResponseBytes, aTimeout);
+      result.response.body, kMaxCallBytes, aTimeout);
   }
   co_return result;
 }
--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <charconv>
 #include <deque>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -30,6 +31,8 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
+/// Size of one write of an answer that is sent as fast as possible.
+constexpr std::size_t kFillerBytes = 16 * 1024;
 constexpr char kHealthPath[] = "/healthz";
 
 using Message = bhttp::request<bhttp::string_body>;
@@ -85,6 +88,22 @@
     mFaultyRequests = aCount;
   }
 
+  void SetRefusalFault(const RefusalFault& aFault) override
+  {
+    Post([this, aFault] { mRefusalFault = aFault; });
+  }
+
+  int RepeatedRefusals() const override { return mRepeated.load(); }
+
+  void AnswerWithoutEnd(Duration aPause,
+                        std::optional<EndlessPart> aPart) override
+  {
+    Post([this, aPause, aPart] {
+      mEndlessPause = aPause;
+      mEndlessPart = aPart;
+    });
+  }
+
   void FallSilent(Duration aTime) override
   {
     Post([this, aTime] {
@@ -192,6 +211,7 @@
       open = co_await Answer(aSocket, buffer, parser);
     }
     mSockets.erase(&aSocket);
+    mRefusals.erase(&aSocket);
   }
 
   /// Returns the fault of the next request, and counts that request.
@@ -225,20 +245,148 @@
       co_return co_await Write(aSocket, MakeResponse(200, "ok", "", false));
     }
     mArrivals += 1;
+    const auto id =
+      "Attempt-Id: " + HeaderValue(message, "Attempt-Id") + "\r\n";
     const auto expected = HeaderValue(message, "Expect-Instance");
     if (!expected.empty() && expected != mOptions.id) {
-      co_return co_await Write(
-        aSocket,
-        MakeResponse(421, "", "Instance-Id: " + mOptions.id + "\r\n", false));
+      co_return co_await Refuse(
+        aSocket, 421, "Instance-Id: " + mOptions.id + "\r\n", id);
+    }
+    if (mEndlessPause) {
+      co_await AnswerEndlessly(aSocket, message);
+      co_return false;
+    }
+    if (fault == EngineFault::kThrottled) {
+      co_return co_await Refuse(aSocket, 429, "Not-Executed: 1\r\n", id);
     }
     if (fault == EngineFault::kFull ||
         mRunning >= mOptions.slots + mOptions.queue) {
-      co_return co_await Write(
-        aSocket, MakeResponse(503, "", "Not-Executed: 1\r\n", false));
+      co_return co_await Refuse(aSocket, 503, "Not-Executed: 1\r\n", id);
     }
     co_return co_await Run(aSocket, aBuffer, aParser, fault);
   }
 
+  /// Writes a refusal, and keeps it if it is to be written once more.
+  ///
+  /// @param aHeaders Headers except the one of the id.
+  asio::awaitable<bool> Refuse(tcp::socket& aSocket,
+                               int aStatus,
+                               std::string aHeaders,
+                               std::string aId)
+  {
+    const auto& fault = mRefusalFault;
+    const auto text =
+      MakeResponse(aStatus, "", aHeaders + (fault.bearsId ? aId : ""), false);
+    const auto again = MakeResponse(
+      aStatus, "", aHeaders + (fault.repeatBearsId ? aId : ""), false);
+    bool open = co_await Write(aSocket, text);
+    if (open && fault.repeat == RefusalFault::Repeat::kWhileIdle) {
+      co_await Sleep(Milliseconds(20));
+      mRepeated += 1;
+      open = co_await Write(aSocket, again);
+    } else if (open && fault.repeat != RefusalFault::Repeat::kNever) {
+      mRefusals[&aSocket] = again;
+    }
+    co_return open;
+  }
+
+  /// Writes the connection's last refusal once more if the fault says so.
+  asio::awaitable<void> RepeatRefusal(tcp::socket& aSocket,
+                                      RefusalFault::Repeat aWhen)
+  {
+    const auto found = mRefusals.find(&aSocket);
+    if (mRefusalFault.repeat != aWhen || found == mRefusals.end()) {
+      co_return;
+    }
+    const auto text = std::move(found->second);
+    mRefusals.erase(found);
+    mRepeated += 1;
+    co_await Write(aSocket, text);
+  }
+
+  /// Sends the next part without end, until the caller closes the connection.
+  asio::awaitable<void> AnswerEndlessly(tcp::socket& aSocket,
+                                        const Message& aMessage)
+  {
+    const auto next =
+      static_cast<EndlessPart>(mEndlessAnswers++ % kEndlessParts);
+    const auto part = mEndlessPart.value_or(next);
+    const auto pause = *mEndlessPause;
+    EngineRun notRun;
+    notRun.requestId = HeaderValue(aMessage, "Attempt-Id");
+    const bool runs = part != EndlessPart::kRefusalBody;
+    mRunning += 1;
+    auto& run = runs ? RecordRun(aMessage) : notRun;
+    const auto answer = EndlessAnswer(part, run);
+    std::string filler = answer.filler;
+    while (pause == Duration::zero() && filler.size() < kFillerBytes) {
+      filler += answer.filler;
+    }
+    bool open = co_await Write(aSocket, answer.begin);
+    for (std::size_t i = 0; open; ++i) {
+      if (pause == Duration::zero()) {
+        open = co_await Write(aSocket, filler);
+      } else {
+        co_await Sleep(pause);
+        open = co_await Write(aSocket, filler.substr(i % filler.size(), 1));
+      }
+    }
+    RecordEnd(run, false);
+  }
+
+  struct Endless
+  {
+    std::string begin;
+    std::string filler; ///< Repeated without end.
+  };
+
+  /// Returns the bytes of an answer that does not end in a part.
+  Endless EndlessAnswer(EndlessPart aPart, const EngineRun& aRun) const
+  {
+    const std::string line = "HTTP/1.1 200 OK\r\n";
+    const auto head = line + "Content-Type: text/event-stream\r\n" +
+                      "Attempt-Id: " + aRun.requestId +
+                      "\r\nEngine-Signature: " + Sign(aRun) + "\r\n";
+    const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string length = "Content-Length: 50000000\r\n\r\n";
+    switch (aPart) {
+      case EndlessPart::kStatusLine:
+        return { "HTTP/1.1 200 ", "x" };
+      case EndlessPart::kHeader:
+        return { head + "X-Long: ", "x" };
+      case EndlessPart::kHeaders:
+        return { head, "X-Some: y\r\n" };
+      case EndlessPart::kInterimHeads:
+        return { "", "HTTP/1.1 100 Continue\r\n\r\n" };
+      case EndlessPart::kChunkSize:
+        return { chunked, "0" };
+      case EndlessPart::kChunkExtension:
+        return { chunked + "1;x=", "y" };
+      case EndlessPart::kTrailer:
+        return { chunked + Chunk(Event(aRun.target, 1)) + "0\r\n",
+                 "X-Some: y\r\n" };
+      case EndlessPart::kBodyOfLength:
+        return { head + length, "x" };
+      case EndlessPart::kBodyOfChunks:
+        return { chunked, Chunk("0123456789abcdef") };
+      case EndlessPart::kBodyUntilClose:
+        return { head + "\r\n", "x" };
+      case EndlessPart::kRefusalBody:
+        return { "HTTP/1.1 503 S\r\nNot-Executed: 1\r\nAttempt-Id: " +
+                   aRun.requestId + "\r\n" + length,
+                 "x" };
+      case EndlessPart::kForeignBody:
+        return { line + "Attempt-Id: other\r\n" + length, "x" };
+      case EndlessPart::kEvent:
+        return { chunked, Chunk("data: x\n") };
+      case EndlessPart::kComments:
+        return { chunked, Chunk(": x\n\n") };
+      case EndlessPart::kEmptyLines:
+        return { chunked, Chunk("\n") };
+    }
+    return {};
+  }
+
   EngineRun& RecordRun(const Message& aMessage)
   {
     std::lock_guard<std::mutex> lock(mMutex);
@@ -271,6 +419,7 @@
   {
     mRunning += 1;
     auto& run = RecordRun(aParser.get());
+    co_await RepeatRefusal(aSocket, RefusalFault::Repeat::kBeforeRun);
     co_await Sleep(mOptions.firstByteDelay);
     const bool complete = co_await Reply(aSocket, run, aFault);
     RecordEnd(run, complete);
@@ -303,6 +452,20 @@
       case EngineFault::kGarbage:
         co_await Write(aSocket, "no answer at all\r\n\r\n");
         co_return false;
+      case EngineFault::kFalsePromise:
+        co_return co_await Write(aSocket,
+                                 MakeResponse(503, "failed", id, false));
+      case EngineFault::kSwitchProtocols:
+        co_return co_await Write(
+          aSocket, "HTTP/1.1 101 S\r\n" + id + signature + "\r\n");
+      case EngineFault::kBadStatus:
+        co_return co_await Write(
+          aSocket, MakeResponse(999, "strange", id + signature, false));
+      case EngineFault::kInterim:
+        co_await Write(aSocket,
+                       "HTTP/1.1 100 Continue\r\n\r\n"
+                       "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+        break;
       case EngineFault::kUnsigned:
         co_return co_await Write(aSocket,
                                  MakeResponse(200, Body(aRun), id, false));
@@ -322,8 +485,12 @@
         break;
     }
     if (!mOptions.stream) {
-      const auto text = MakeResponse(200, Body(aRun), id + signature, false);
+      auto text = MakeResponse(200, Body(aRun), id + signature, false);
       const bool cut = aFault == EngineFault::kCut;
+      const auto bodyAt = text.size() - Body(aRun).size();
+      co_await Write(aSocket, text.substr(0, bodyAt));
+      co_await RepeatRefusal(aSocket, RefusalFault::Repeat::kInBody);
+      text.erase(0, bodyAt);
       const bool open =
         co_await Write(aSocket, text.substr(0, text.size() - (cut ? 3 : 0)));
       co_return open && !cut;
@@ -341,6 +508,7 @@
                      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                      "Transfer-Encoding: chunked\r\n" +
                        aHeaders + "\r\n");
+    co_await RepeatRefusal(aSocket, RefusalFault::Repeat::kInBody);
     const int after = static_cast<int>(ParseNumber(aRun.lastEventId));
     for (int i = after + 1; open && i <= mOptions.events; ++i) {
       const auto event = Event(aRun.target, i);
@@ -419,8 +587,16 @@
   std::int64_t mStarted = 1;
   mutable std::int64_t mSequence = 0;
   std::atomic<int> mArrivals{ 0 };
+  std::atomic<int> mRepeated{ 0 };
   // The members below are used on the event loop only.
   int mRunning = 0;
+  RefusalFault mRefusalFault;
+  /// Refusals that are to be written once more, by connection.
+  std::map<tcp::socket*, std::string> mRefusals;
+  /// Time between two bytes of answers without end; none: sound answers.
+  std::optional<Duration> mEndlessPause;
+  std::optional<EndlessPart> mEndlessPart;
+  int mEndlessAnswers = 0;
   TimePoint mSilentUntil{}; ///< Nothing is sent before this time.
   std::set<tcp::socket*> mSockets;
   http::Threads mThreads;
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -8,6 +8,7 @@
 #include "magnoliatide/document/document.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,18 +34,60 @@
 enum class EngineFault
 {
   kNone,
-  kFailed,      ///< Runs the request and answers 500.
-  kLost,        ///< Runs the request and closes without an answer.
-  kCut,         ///< Closes the connection in the middle of the answer.
-  kUnsigned,    ///< Answers without its signature.
-  kGarbage,     ///< Sends bytes that are not HTTP.
-  kExtraAnswer, ///< Sends a second answer after the right one.
-  kUnframed,    ///< Answers without a length and closes the connection.
-  kFull,        ///< Answers 503 with Not-Executed and runs nothing.
-  kSilent,      ///< Runs the request and never answers.
-  kEarlyAnswer, ///< Answers before reading the body.
+  kFailed,          ///< Runs the request and answers 500.
+  kLost,            ///< Runs the request and closes without an answer.
+  kCut,             ///< Closes the connection in the middle of the answer.
+  kUnsigned,        ///< Answers without its signature.
+  kGarbage,         ///< Sends bytes that are not HTTP.
+  kExtraAnswer,     ///< Sends a second answer after the right one.
+  kUnframed,        ///< Answers without a length and closes the connection.
+  kFull,            ///< Answers 503 with Not-Executed and runs nothing.
+  kSilent,          ///< Runs the request and never answers.
+  kEarlyAnswer,     ///< Answers before reading the body.
+  kThrottled,       ///< Answers 429 with Not-Executed and runs nothing.
+  kFalsePromise,    ///< Runs the request and answers 503 without Not-Executed.
+  kInterim,         ///< Sends 100 and 103 before the answer.
+  kSwitchProtocols, ///< Runs the request and answers 101.
+  kBadStatus,       ///< Runs the request and answers with a status of 999.
 };
 
+/// Mishandled refusals of an engine.
+struct RefusalFault
+{
+  /// When the last refusal on a connection is written once more.
+  enum class Repeat
+  {
+    kNever,
+    kWhileIdle, ///< Soon after the first time.
+    kBeforeRun, ///< When the connection's next request begins to run.
+    kInBody,    ///< Between the head and the body of the next answer.
+  };
+  Repeat repeat = Repeat::kNever;
+  bool bearsId = true;       ///< The refusal echoes its request's id.
+  bool repeatBearsId = true; ///< The repeated refusal does so.
+};
+
+/// Part of an answer that never ends.
+enum class EndlessPart
+{
+  kStatusLine,
+  kHeader,
+  kHeaders,
+  kInterimHeads,
+  kChunkSize,
+  kChunkExtension,
+  kTrailer,
+  kBodyOfLength,
+  kBodyOfChunks,
+  kBodyUntilClose,
+  kRefusalBody, ///< Of a 503 with Not-Executed; the request does not run.
+  kForeignBody, ///< Of an answer with the id of another request.
+  kEvent,       ///< An event without an empty line.
+  kComments,    ///< Events that consist of a comment.
+  kEmptyLines,
+};
+constexpr int kEndlessParts = 15;
+
 /// A request that the engine started to run.
 struct EngineRun
 {
@@ -72,6 +115,20 @@
   /// @param aCount Number of affected requests; negative for all.
   virtual void SetFault(EngineFault aFault, int aCount = -1) = 0;
 
+  /// Sets how refusals are mishandled from now on.
+  virtual void SetRefusalFault(const RefusalFault& aFault) = 0;
+
+  /// Returns how many refusals were written once more.
+  virtual int RepeatedRefusals() const = 0;
+
+  /// Answers all requests from now on without end.
+  ///
+  /// @param aPause Time between two bytes; zero sends as fast as possible.
+  /// @param aPart The part that does not end. If not given, each request gets
+  ///     another one, in the order of EndlessPart.
+  virtual void AnswerWithoutEnd(Duration aPause,
+                                std::optional<EndlessPart> aPart = {}) = 0;
+
   /// Suspends the engine for a time: it keeps its connections and requests, but
   /// sends nothing and starts no run until then.
   virtual void FallSilent(Duration aTime) = 0;
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -328,8 +328,6 @@
                             const CallSpec& aCall,
                             Duration aAfter)
 {
-  // The timeout applies to the time without data, so the caller disconnects
-  // when nothing arrives for aAfter.
   Send(mVms[aVm].callerAddress, RequestOf(aCall), aAfter).get();
 }
 
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -116,7 +116,7 @@
   /// Calls a VM and waits for the result.
   http::CallResult Call(std::size_t aVm, const CallSpec& aCall);
 
-  /// Calls a VM and disconnects when nothing arrives for the given time.
+  /// Calls a VM and disconnects after the given time, if the call has not ended.
   void CallAndLeave(std::size_t aVm, const CallSpec& aCall, Duration aAfter);
 
   /// A running call; Result() waits for its end.
@@ -124,6 +124,10 @@
   {
   public:
     http::CallResult Result() { return mFuture.get(); }
+    bool Ended() const
+    {
+      return mFuture.wait_for(Seconds(0)) == std::future_status::ready;
+    }
 
   private:
     friend class PlatformFleet;
--- /dev/null
+++ b/tests/strange_answers_process_test.cpp
@@ -0,0 +1,241 @@
+// Guards against wrong results for callers when a backend server sends what is
+// not the answer to the request: an earlier refusal once more, interim
+// responses, unusable statuses, and bytes without end. Real VM processes run
+// with test doubles of the store and the servers.
+#include "platform_fleet.h"
+#include "store_client.h"
+
+#include "magnoliatide/core/digest.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <thread>
+
+namespace magnoliatide::tests {
+namespace {
+
+using http::CallStatus;
+using standins::BatchEngineOptions;
+using standins::EndlessPart;
+using standins::EngineFault;
+using standins::RefusalFault;
+using Repeat = RefusalFault::Repeat;
+
+/// Memory that a VM may use on the operators' machines.
+constexpr double kVmMegabytes = 260;
+/// How long after its deadline a request must have its final answer.
+constexpr Duration kAnswerSlack = Milliseconds(500);
+
+std::string
+NameOfTest()
+{
+  const auto* info = ::testing::UnitTest::GetInstance()->current_test_info();
+  auto name = std::string(info->test_suite_name()) + "." + info->name();
+  std::replace(name.begin(), name.end(), '/', '.');
+  return name;
+}
+
+bool
+PromisesNotRun(int aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
+class StrangeAnswers : public ::testing::Test
+{
+protected:
+  StrangeAnswers()
+    : mFleet(NameOfTest())
+  {
+  }
+
+  standins::BatchEngine& Add(const std::string& aId,
+                             const std::string& aService,
+                             int aSlots = 4)
+  {
+    BatchEngineOptions options;
+    options.id = aId;
+    options.service = aService;
+    options.stream = aService == "language";
+    options.slots = aSlots;
+    options.queue = aSlots;
+    return mFleet.AddEngine(options);
+  }
+
+  void Start()
+  {
+    RouteConfig deposits;
+    deposits.name = "deposits";
+    deposits.prefix = "/deposits/";
+    deposits.kind = "non_idempotent";
+    deposits.service = "orders";
+    deposits.attempts = 1;
+    RouteConfig stock = deposits;
+    stock.name = "stock";
+    stock.prefix = "/stock/";
+    stock.kind = "idempotent";
+    stock.attempts = 2;
+    RouteConfig notes = stock;
+    notes.name = "notes";
+    notes.prefix = "/notes/";
+    notes.service = "notes";
+    mFleet.Publish({ RouteConfig(), deposits, stock, notes }, { TeamConfig() });
+    ASSERT_TRUE(mFleet.Start());
+  }
+
+  /// Returns the next call of a kind; all ids, paths and bodies differ.
+  CallSpec NextCall(const std::string& aKind, int aDeadlineMillis = 3000)
+  {
+    const auto number = std::to_string(++mCalls);
+    CallSpec call;
+    call.path = "/" + aKind + "/" + number;
+    call.body = "body " + number;
+    call.id = ToHex(Hash64(number));
+    call.deadlineMillis = aDeadlineMillis;
+    return call;
+  }
+
+  http::CallResult Send(const CallSpec& aCall)
+  {
+    auto result = mFleet.Call(0, aCall);
+    mStatuses[aCall.id] = result.response.status;
+    return result;
+  }
+
+  /// Returns how many runs of each request the servers recorded.
+  std::map<std::string, int> RunCounts()
+  {
+    std::map<std::string, int> counts;
+    for (const auto& engine : mFleet.Engines()) {
+      for (const auto& run : engine->Runs()) {
+        counts[run.requestId] += 1;
+      }
+    }
+    return counts;
+  }
+
+  /// Expects that no request ran more than once, and none of those of which the
+  /// caller was told that they did not run.
+  void ExpectTruePromises()
+  {
+    auto runs = RunCounts();
+    for (const auto& [id, status] : mStatuses) {
+      EXPECT_LE(runs[id], 1) << id;
+      if (PromisesNotRun(status)) {
+        EXPECT_EQ(runs[id], 0) << id << " was answered " << status;
+      }
+    }
+  }
+
+  static std::string ExpectedBody(const CallSpec& aCall)
+  {
+    return aCall.path.starts_with("/quotes/")
+             ? standins::ExpectedEvents(aCall.path, 0, 10)
+             : "answer to " + aCall.path + " " + aCall.body;
+  }
+
+  PlatformFleet mFleet;
+  std::map<std::string, int> mStatuses; ///< Of the answers, by request id.
+  int mCalls = 0;
+};
+
+// Guards against interim responses that are relayed as the final answer.
+TEST_F(StrangeAnswers, InterimResponsesAreSkipped)
+{
+  auto& orders = Add("o-1", "orders");
+  auto& engine = Add("i-1", "language");
+  Start();
+  orders.SetFault(EngineFault::kInterim);
+  engine.SetFault(EngineFault::kInterim);
+  for (const auto* kind : { "deposits", "quotes" }) {
+    const auto call = NextCall(kind);
+    const auto result = Send(call);
+    EXPECT_EQ(result.response.status, 200) << kind;
+    EXPECT_EQ(result.response.body, ExpectedBody(call)) << kind;
+  }
+}
+
+// Guards against relaying a status that is no final answer in HTTP.
+TEST_F(StrangeAnswers, UnusableStatusesAreNotRelayed)
+{
+  auto& orders = Add("o-1", "orders");
+  Start();
+  for (const auto fault :
+       { EngineFault::kSwitchProtocols, EngineFault::kBadStatus }) {
+    orders.SetFault(fault, 1);
+    const auto result = Send(NextCall("deposits"));
+    EXPECT_EQ(result.status, CallStatus::kDone);
+    EXPECT_EQ(result.response.status, 502);
+  }
+}
+
+// Guards against a request that ends without an answer because it cannot be
+// formatted for a server.
+TEST_F(StrangeAnswers, AnyMethodMayHaveABody)
+{
+  Add("o-1", "orders");
+  Start();
+  auto call = NextCall("deposits");
+  call.method = "TRACE";
+  const auto result = Send(call);
+  EXPECT_EQ(result.status, CallStatus::kDone);
+  EXPECT_EQ(result.response.body, ExpectedBody(call));
+}
+
+// Guards against exceptions of a call whose fields are long.
+TEST_F(StrangeAnswers, ACallWithALongFieldHasAStatus)
+{
+  auto& engine = Add("o-1", "orders");
+  http::Request request;
+  request.headers.push_back({ "X-Long", std::string(100000, 'x') });
+  boost::asio::io_context loop;
+  auto result = boost::asio::co_spawn(
+    loop,
+    http::Call(engine.Options().address, request, Seconds(2)),
+    boost::asio::use_future);
+  loop.run();
+  EXPECT_NO_THROW(EXPECT_NE(result.get().status, CallStatus::kDone));
+}
+
+// Guards against a call, such as a health check, that lasts as long as its
+// server sends bytes.
+TEST_F(StrangeAnswers, ACallEndsAsAWhole)
+{
+  auto& engine = Add("o-1", "orders");
+  for (const auto part : { EndlessPart::kHeaders,
+                           EndlessPart::kChunkExtension,
+                           EndlessPart::kBodyUntilClose }) {
+    engine.AnswerWithoutEnd(Milliseconds(20), part);
+    boost::asio::io_context loop;
+    const auto result = boost::asio::co_spawn(
+      loop,
+      http::Call(engine.Options().address, http::Request(), Milliseconds(300)),
+      boost::asio::use_future);
+    loop.run_for(Seconds(2));
+    EXPECT_EQ(result.wait_for(Seconds(0)), std::future_status::ready)
+      << static_cast<int>(part);
+  }
+}
+
+// Guards against a call to the store that lasts as long as the store sends
+// bytes.
+TEST_F(StrangeAnswers, ACallToTheStoreEndsAsAWhole)
+{
+  auto& engine = Add("o-1", "orders");
+  engine.AnswerWithoutEnd(Milliseconds(20), EndlessPart::kBodyOfLength);
+  platform::StoreOptions options;
+  options.address = engine.Options().address;
+  options.responseTimeout = Milliseconds(300);
+  boost::asio::io_context loop;
+  platform::StoreClient client(loop.get_executor(), options);
+  const auto result = boost::asio::co_spawn(
+    loop, client.List("servers/", ""), boost::asio::use_future);
+  loop.run_for(Seconds(2));
+  EXPECT_EQ(result.wait_for(Seconds(0)), std::future_status::ready);
+}
+
+} // namespace
+} // namespace magnoliatide::tests
