Believe an answer only if it can only belong to its send

Callers were told "not run" (503) for requests that a server ran, when the server wrote an earlier refusal once more on a kept connection.

Cause: an answer without an id counted as the one to the current request, and an id was taken as proof although the same request can be sent again on the same connection (a server answers 421 to a request for another one at its address and then gets that request).

Change: a request is sent only once on a connection, so that an id identifies the answer to a send. Without an id, an answer is believed on a new connection. A connection that carried a refusal without an id, or an answer to another request, is not kept. Requests without an id get a new connection. Bodies that are not used are skipped, up to 64 KB; that of a refusal for 100 ms at most.

--- a/include/magnoliatide/backend/pool.h
+++ b/include/magnoliatide/backend/pool.h
@@ -33,6 +33,15 @@
   std::string incarnation;
 };
 
+/// A connection that was used before.
+struct KeptConnection
+{
+  std::shared_ptr<http::ClientConnection>
+    connection; ///< Null if there is none.
+  /// Whether an earlier request on it was answered "not run".
+  bool carriedRefusal = false;
+};
+
 /// Keeps idle connections per event loop and server. Thread-safe.
 class Pool
 {
@@ -45,13 +54,12 @@
   boost::asio::awaitable<std::shared_ptr<http::ClientConnection>> Acquire(
     document::Endpoint aServer);
 
-  /// Returns an idle connection, or null.
+  /// Returns an idle connection, if there is one.
   ///
   /// @param aMaxIdle Maximum time for which it has been idle.
-  std::shared_ptr<http::ClientConnection> TakeIdle(
-    const boost::asio::any_io_executor& aExecutor,
-    const document::Endpoint& aServer,
-    Duration aMaxIdle);
+  KeptConnection TakeIdle(const boost::asio::any_io_executor& aExecutor,
+                          const document::Endpoint& aServer,
+                          Duration aMaxIdle);
 
   /// Creates a connection without connecting it.
   std::shared_ptr<http::ClientConnection> Make(
@@ -72,7 +80,7 @@
   /// @param aKeepAlive How long the backend server keeps the connection open.
   void Release(const boost::asio::any_io_executor& aExecutor,
                const document::Endpoint& aServer,
-               std::shared_ptr<http::ClientConnection> aConnection,
+               KeptConnection aConnection,
                Duration aKeepAlive);
 
   /// Closes the idle connections to a backend server.
--- a/src/backend/pool.cpp
+++ b/src/backend/pool.cpp
@@ -28,7 +28,7 @@
 
 struct IdleConnection
 {
-  std::shared_ptr<http::ClientConnection> connection;
+  KeptConnection kept;
   TimePoint since;
   TimePoint until; ///< The server may close it from then on.
 };
@@ -48,29 +48,28 @@
   std::mutex mutex;
   std::map<PoolKey, std::vector<IdleConnection>> idle;
 
-  std::shared_ptr<http::ClientConnection> TakeReusable(const PoolKey& aKey,
-                                                       Duration aMaxIdle)
+  KeptConnection TakeReusable(const PoolKey& aKey, Duration aMaxIdle)
   {
     std::lock_guard<std::mutex> lock(mutex);
     const auto found = idle.find(aKey);
     if (found == idle.end()) {
-      return nullptr;
+      return {};
     }
     auto& connections = found->second;
     const auto now = Clock::now();
     while (!connections.empty()) {
       // The back is the most recently used; all others have been idle longer.
       if (now - connections.back().since > aMaxIdle) {
-        return nullptr;
+        return {};
       }
       IdleConnection last = std::move(connections.back());
       connections.pop_back();
-      if (now < last.until && last.connection->Reusable()) {
-        return last.connection;
+      if (now < last.until && last.kept.connection->Reusable()) {
+        return std::move(last.kept);
       }
     }
     idle.erase(found);
-    return nullptr;
+    return {};
   }
 };
 
@@ -82,7 +81,7 @@
 
 Pool::~Pool() = default;
 
-std::shared_ptr<http::ClientConnection>
+KeptConnection
 Pool::TakeIdle(const asio::any_io_executor& aExecutor,
                const document::Endpoint& aServer,
                Duration aMaxIdle)
@@ -102,7 +101,7 @@
 {
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   const auto& options = mStore->options;
-  auto connection = TakeIdle(executor, aServer, options.maxIdleTime);
+  auto connection = TakeIdle(executor, aServer, options.maxIdleTime).connection;
   if (connection) {
     co_return connection;
   }
@@ -137,17 +136,19 @@
               const document::Endpoint& aServer,
               std::shared_ptr<http::ClientConnection> aConnection)
 {
-  Release(
-    aExecutor, aServer, std::move(aConnection), mStore->options.maxIdleTime);
+  Release(aExecutor,
+          aServer,
+          { std::move(aConnection), false },
+          mStore->options.maxIdleTime);
 }
 
 void
 Pool::Release(const asio::any_io_executor& aExecutor,
               const document::Endpoint& aServer,
-              std::shared_ptr<http::ClientConnection> aConnection,
+              KeptConnection aConnection,
               Duration aKeepAlive)
 {
-  if (!aConnection->Reusable()) {
+  if (!aConnection.connection->Reusable()) {
     return;
   }
   const auto now = Clock::now();
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -13,10 +13,12 @@
 #include <boost/asio/experimental/channel.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace magnoliatide::forward {
 
@@ -57,6 +59,11 @@
   std::optional<http::Response> answer; ///< Complete, to be sent.
   /// A server's error response, relayed if no other server can be tried.
   std::optional<http::Response> serverError;
+  /// Memory of the answer's body.
+  http::BodyMemory bodyMemory;
+  /// Connections that have carried the request. It is not sent again on one of
+  /// them, so that its id identifies the answer to a send.
+  std::vector<std::weak_ptr<http::ClientConnection>> usedConnections;
   /// Set while a send is in progress.
   std::shared_ptr<http::ClientConnection> connection;
   /// Writes a streamed answer; null until the first event arrives.
@@ -73,6 +80,15 @@
   }
 
   Duration TimeLeft(TimePoint aNow) const { return job.deadline - aNow; }
+
+  bool WasSentOn(
+    const std::shared_ptr<http::ClientConnection>& aConnection) const
+  {
+    return std::any_of(
+      usedConnections.begin(), usedConnections.end(), [&](const auto& aUsed) {
+        return aUsed.lock() == aConnection;
+      });
+  }
 };
 
 using RequestPointer = std::shared_ptr<Request>;
--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -42,7 +42,13 @@
 /// Idle time for servers that announce no timeout.
 constexpr Duration kDefaultKeepAlive = Milliseconds(1500);
 
-constexpr std::size_t kMaxNotRunBytes = 64 * 1024;
+/// Maximum size of a body that is not used.
+constexpr std::size_t kMaxSkippedBytes = 64 * 1024;
+
+/// How long to wait for the body of an answer that states "not run", so that
+/// the connection can be kept.
+constexpr Duration kSkipTimeout = Milliseconds(100);
+
 constexpr std::size_t kMaxBufferedBytes = 8 * 1024 * 1024;
 /// Answers to other requests that are read before the connection is closed.
 constexpr int kMaxForeignAnswers = 4;
@@ -105,7 +111,12 @@
                   unanswered ? "connect timed out" : "cannot connect");
   }
   if (!mParams.usable(mServer)) {
-    mParams.pool->Release(mRequest->executor, mServer.address, mConnection);
+    if (mReused) {
+      mParams.pool->Release(mRequest->executor,
+                            mServer.address,
+                            { mConnection, mCarriedRefusal },
+                            kDefaultKeepAlive);
+    }
     co_return End(
       SendOutcome::kNotRun,
       policy::SendResult::kNotSent,
@@ -281,11 +292,16 @@
     co_return connected;
   }
   const bool retryable = mRequest->route->IsRetryable();
-  mConnection =
-    mParams.pool->TakeIdle(mRequest->executor,
-                           mServer.address,
-                           retryable ? kMaxIdle : kMaxIdleNonRetryable);
-  if (mConnection) {
+  backend::KeptConnection kept;
+  // Without an id, the answer could be the one to an earlier request.
+  if (!mRequest->call.id.empty()) {
+    kept = mParams.pool->TakeIdle(mRequest->executor,
+                                  mServer.address,
+                                  retryable ? kMaxIdle : kMaxIdleNonRetryable);
+  }
+  if (kept.connection && !mRequest->WasSentOn(kept.connection)) {
+    mConnection = std::move(kept.connection);
+    mCarriedRefusal = kept.carriedRefusal;
     mReused = true;
     if (mRelaying) {
       mRequest->connection = mConnection;
@@ -300,6 +316,7 @@
 Sender::OpenConnection()
 {
   mReused = false;
+  mCarriedRefusal = false;
   mConnection = mParams.pool->Make(mRequest->executor, mServer.address);
   if (mRelaying) {
     mRequest->connection = mConnection;
@@ -323,6 +340,8 @@
   options.timeLeft = mRequest->TimeLeft(mSentAt);
   options.lastEventId = mRequest->events.LastId();
   auto message = mParams.dialect->EncodeForServer(mRequest->call, options);
+  mConnection->EndBy(mSentAt + StepTimeout(*mRequest));
+  mRequest->usedConnections.push_back(mConnection);
   const auto status =
     co_await mConnection->Send(std::move(message), StepTimeout(*mRequest));
   const bool sent = status != http::CallStatus::kNotSent;
@@ -358,8 +377,8 @@
   co_return co_await RelayBuffered(std::move(head));
 }
 
-/// Reads responses until one has this request's id. A late answer to an earlier
-/// request on the connection may arrive first and is discarded.
+/// Reads responses until one answers this send. A late or repeated answer to an
+/// earlier request on the connection may arrive first and is discarded.
 asio::awaitable<http::CallStatus>
 Sender::ReadMatchingHead(AnswerHead& aHead)
 {
@@ -371,14 +390,13 @@
       co_return status;
     }
     aHead = mParams.dialect->DecodeHead(response);
-    const auto& id = mRequest->call.id;
-    if (aHead.requestId.empty() || aHead.requestId == id) {
+    if (IsOwnAnswer(aHead)) {
       co_return http::CallStatus::kDone;
     }
+    mForeignAnswer = true;
     mParams.metrics->Count("foreign_answers_total");
-    std::string body;
-    status = co_await mConnection->ReadRest(
-      body, kMaxBufferedBytes, StepTimeout(*mRequest));
+    status =
+      co_await mConnection->SkipRest(kMaxSkippedBytes, StepTimeout(*mRequest));
     if (status != http::CallStatus::kDone) {
       co_return status;
     }
@@ -387,15 +405,31 @@
   co_return http::CallStatus::kCut;
 }
 
+/// Returns whether an answer can only be the one to this send. A request is
+/// sent only once on a connection, so its id proves that. Without an id, the
+/// answer is the first one on a new connection, or a refusal on a connection
+/// that has not carried one which could be repeated.
+bool
+Sender::IsOwnAnswer(const AnswerHead& aHead) const
+{
+  if (!aHead.requestId.empty()) {
+    return aHead.requestId == mRequest->call.id;
+  }
+  return !mForeignAnswer && (!mReused || (aHead.notRun && !mCarriedRefusal));
+}
+
 asio::awaitable<SendEnd>
 Sender::HandleNotRun(AnswerHead aHead)
 {
   mRequest->runs -= 1;
-  std::string body;
-  const auto status = co_await mConnection->ReadRest(
-    body, kMaxNotRunBytes, StepTimeout(*mRequest));
-  if (status == http::CallStatus::kDone) {
+  mCarriedRefusal = true;
+  const auto status =
+    co_await mConnection->SkipRest(kMaxSkippedBytes, kSkipTimeout);
+  // Repeated without an id, the refusal could not be told from another one.
+  if (status == http::CallStatus::kDone && !aHead.requestId.empty()) {
     KeepConnection(aHead);
+  } else {
+    mConnection->Close();
   }
   if (aHead.otherInstance) {
     ReportLeaving("another server has the address");
@@ -507,12 +541,16 @@
 void
 Sender::KeepConnection(const AnswerHead& aHead)
 {
+  if (mForeignAnswer) {
+    mConnection->Close();
+    return;
+  }
   const Duration keepAlive =
     aHead.idleTimeout.value_or(kDefaultKeepAlive + kIdleMargin);
   if (keepAlive > kIdleMargin) {
     mParams.pool->Release(mRequest->executor,
                           mServer.address,
-                          mConnection,
+                          { mConnection, mCarriedRefusal },
                           keepAlive - kIdleMargin);
   }
 }
--- a/src/forward/sender.h
+++ b/src/forward/sender.h
@@ -77,6 +77,7 @@
   boost::asio::awaitable<SendEnd> RelayWatched();
   boost::asio::awaitable<SendEnd> Relay();
   boost::asio::awaitable<http::CallStatus> ReadMatchingHead(AnswerHead& aHead);
+  bool IsOwnAnswer(const AnswerHead& aHead) const;
   boost::asio::awaitable<SendEnd> HandleNotRun(AnswerHead aHead);
   boost::asio::awaitable<SendEnd> RelayBuffered(AnswerHead aHead);
   boost::asio::awaitable<SendEnd> RelayStream(AnswerHead aHead);
@@ -100,7 +101,10 @@
   std::shared_ptr<http::ClientConnection> mConnection;
   bool mProbe;
   bool mReused = false; ///< The connection comes from the pool.
-  bool mClosed = false; ///< Close() was called.
+  /// The connection has carried an answer that states "not run".
+  bool mCarriedRefusal = false;
+  bool mForeignAnswer = false; ///< An answer to another request arrived.
+  bool mClosed = false;        ///< Close() was called.
   /// Whether the answer is relayed. Before that, the request's connection is
   /// the one of another sender.
   bool mRelaying = false;
--- a/tests/strange_answers_process_test.cpp
+++ b/tests/strange_answers_process_test.cpp
@@ -142,6 +142,150 @@
   int mCalls = 0;
 };
 
+/// What is repeated, and of which kind the requests are.
+struct RepeatCase
+{
+  const char* name;
+  const char* kind;
+  EngineFault refusal;
+  RefusalFault fault;
+};
+
+class RepeatedRefusal
+  : public StrangeAnswers
+  , public ::testing::WithParamInterface<RepeatCase>
+{};
+
+// Guards against callers that are told "not run" about a request that a server
+// runs, because the server wrote an earlier refusal once more.
+TEST_P(RepeatedRefusal, IsNotTheAnswerToAnotherRequest)
+{
+  const auto& param = GetParam();
+  const std::string kind = param.kind;
+  auto& engine = Add("e-1", kind == "quotes" ? "language" : "orders");
+  Start();
+  engine.SetRefusalFault(param.fault);
+  for (int round = 0; round < 5; ++round) {
+    engine.SetFault(param.refusal, 1);
+    Send(NextCall(kind));
+    for (int i = 0; i < 3; ++i) {
+      const auto call = NextCall(kind);
+      const auto result = Send(call);
+      if (RunCounts()[call.id] == 0) {
+        continue;
+      }
+      EXPECT_EQ(result.response.status, 200);
+      EXPECT_EQ(result.response.body, ExpectedBody(call));
+    }
+  }
+  ExpectTruePromises();
+  if (param.fault.bearsId) {
+    EXPECT_GT(engine.RepeatedRefusals(), 0);
+  }
+}
+
+constexpr auto kFull = EngineFault::kFull;
+constexpr auto kThrottled = EngineFault::kThrottled;
+
+INSTANTIATE_TEST_SUITE_P(
+  Cases,
+  RepeatedRefusal,
+  ::testing::Values(
+    RepeatCase{ "DepositOldId", "deposits", kFull, { Repeat::kBeforeRun } },
+    RepeatCase{ "DepositNoId",
+                "deposits",
+                kFull,
+                { Repeat::kBeforeRun, true, false } },
+    RepeatCase{ "DepositNeverId",
+                "deposits",
+                kFull,
+                { Repeat::kBeforeRun, false, false } },
+    RepeatCase{ "DepositThrottledNoId",
+                "deposits",
+                kThrottled,
+                { Repeat::kBeforeRun, true, false } },
+    RepeatCase{ "DepositIdle",
+                "deposits",
+                kFull,
+                { Repeat::kWhileIdle, true, false } },
+    RepeatCase{ "StreamOldId", "quotes", kFull, { Repeat::kBeforeRun } },
+    RepeatCase{ "StreamNoId",
+                "quotes",
+                kFull,
+                { Repeat::kBeforeRun, true, false } },
+    RepeatCase{ "StreamNeverId",
+                "quotes",
+                kFull,
+                { Repeat::kBeforeRun, false, false } }),
+  [](const auto& aInfo) { return std::string(aInfo.param.name); });
+
+// Guards against a stream that is reported as not run, or mixed with other
+// bytes, because a refusal arrives between its head and its body.
+TEST_F(StrangeAnswers, ARefusalBetweenHeadAndBodyIsNoPartOfAStream)
+{
+  auto& engine = Add("e-1", "language");
+  Start();
+  engine.SetRefusalFault({ Repeat::kInBody, true, true });
+  for (int round = 0; round < 5; ++round) {
+    engine.SetFault(EngineFault::kFull, 1);
+    Send(NextCall("quotes"));
+    const auto call = NextCall("quotes");
+    const auto result = Send(call);
+    if (RunCounts()[call.id] > 0) {
+      EXPECT_FALSE(PromisesNotRun(result.response.status))
+        << result.response.status;
+    }
+    if (result.status == CallStatus::kDone && result.response.status == 200) {
+      EXPECT_EQ(result.response.body, ExpectedBody(call));
+    }
+  }
+  EXPECT_GT(engine.RepeatedRefusals(), 0);
+}
+
+// Guards against a request that is refused or runs twice because the refusal of
+// its own earlier send arrives once more: a server answers 421 to a request for
+// another one at its address, and then gets the same request.
+TEST_F(StrangeAnswers, ARefusalOfTheSameRequestIsBelievedOnlyOnce)
+{
+  auto& engine = Add("o-1", "orders");
+  Start();
+  engine.SetRefusalFault({ Repeat::kBeforeRun });
+  int moved = 0;
+  for (int round = 0; round < 20; ++round) {
+    mFleet.Store().Put("servers/o-0" + std::to_string(round),
+                       engine.Entry(false));
+    std::this_thread::sleep_for(Milliseconds(100));
+    for (int i = 0; i < 2; ++i) {
+      const auto call = NextCall("deposits");
+      const auto arrivals = engine.Arrivals();
+      const auto result = Send(call);
+      if (RunCounts()[call.id] == 0) {
+        continue;
+      }
+      EXPECT_EQ(result.response.status, 200);
+      EXPECT_EQ(result.response.body, ExpectedBody(call));
+      moved += engine.Arrivals() - arrivals - 1;
+    }
+  }
+  EXPECT_GT(moved, 0);
+  ExpectTruePromises();
+}
+
+// Guards against a request that waits until its deadline although its server
+// refused it: refusals may come without an id, also on a kept connection.
+TEST_F(StrangeAnswers, ARefusalWithoutIdOnAKeptConnectionEndsTheSend)
+{
+  auto& engine = Add("o-1", "orders");
+  Start();
+  engine.SetRefusalFault({ Repeat::kNever, false, false });
+  for (int round = 0; round < 5; ++round) {
+    EXPECT_EQ(Send(NextCall("deposits")).response.status, 200);
+    engine.SetFault(EngineFault::kFull, 1);
+    EXPECT_EQ(Send(NextCall("deposits")).response.status, 503);
+  }
+  ExpectTruePromises();
+}
+
 // Guards against interim responses that are relayed as the final answer.
 TEST_F(StrangeAnswers, InterimResponsesAreSkipped)
 {
