--- a/include/magnoliatide/forward/call.h
+++ b/include/magnoliatide/forward/call.h
@@ -61,7 +61,10 @@
   bool signedByServer = false; ///< Bears the server's signature header.
   bool notRun = false;         ///< The server states that it did not run it.
   bool otherInstance = false;  ///< Not run: another server has the address.
-  bool closing = false;        ///< The server closes the connection.
+  /// The status tells callers that it was not run, which the server does not
+  /// state.
+  bool unprovenRefusal = false;
+  bool closing = false; ///< The server closes the connection.
   bool eventStream = false;
   bool encoded = false;                ///< The body has a content encoding.
   std::optional<Duration> idleTimeout; ///< Of the server's connection.
--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -362,6 +362,13 @@
   if (head.notRun) {
     co_return co_await HandleNotRun(std::move(head));
   }
+  if (head.unprovenRefusal) {
+    mConnection->Close();
+    co_return End(SendOutcome::kLost,
+                  policy::SendResult::kFailed,
+                  "the server refused without the statement that the request "
+                  "did not run");
+  }
   const bool success = head.status >= 200 && head.status < 300;
   // A body with a content encoding does not consist of the server's own bytes.
   if (success && (!head.signedByServer || head.encoded)) {
--- a/tests/strange_answers_process_test.cpp
+++ b/tests/strange_answers_process_test.cpp
@@ -286,6 +286,17 @@
   ExpectTruePromises();
 }
 
+// Guards against promises that a server did not give: a 503 without the
+// statement that the request did not run.
+TEST_F(StrangeAnswers, AStatusWithoutItsStatementIsNoPromise)
+{
+  auto& engine = Add("o-1", "orders");
+  Start();
+  engine.SetFault(EngineFault::kFalsePromise);
+  EXPECT_EQ(Send(NextCall("deposits")).response.status, 502);
+  EXPECT_EQ(Send(NextCall("stock")).response.status, 502);
+}
+
 // Guards against interim responses that are relayed as the final answer.
 TEST_F(StrangeAnswers, InterimResponsesAreSkipped)
 {
