Bound events and answers that a server sends without end

Callers waited beyond their deadlines, and comments or empty lines counted as events, so that the stream of a silent server was not continued elsewhere.

Change: lines without a data or id field belong to the next event and are relayed with it. An event has at most 64 KB, else the send fails and the stream may continue at another server. Each byte is scanned once. Buffered bodies share 32 MB beyond their first 16 KB.

--- a/include/magnoliatide/forward/event_stream.h
+++ b/include/magnoliatide/forward/event_stream.h
@@ -9,21 +9,26 @@
 
 namespace magnoliatide::forward {
 
-/// Parses server-sent events and drops those that were returned before.
+/// Maximum size of an event.
+constexpr std::size_t kMaxEventBytes = 64 * 1024;
+
+/// Parses server-sent events and drops those that were returned before. Lines
+/// that make up no event, such as comments, belong to the next event.
 class EventStream
 {
 public:
   /// Appends received bytes.
   ///
-  /// @return The events that these bytes complete, except those whose numeric
-  ///     id is at most the last one returned.
-  std::string Add(std::string_view aBytes);
+  /// @param aEvents Receives the events that these bytes complete, except those
+  ///     whose numeric id is at most the last one returned.
+  /// @return Whether the incomplete event is within kMaxEventBytes.
+  bool Add(std::string_view aBytes, std::string& aEvents);
 
   /// Removes and returns the bytes after the last complete event.
   std::string TakeRemainder();
 
   /// Discards an incomplete event, when the send that it came from failed.
-  void DiscardRemainder() { mPending.clear(); }
+  void DiscardRemainder() { TakeRemainder(); }
 
   /// Returns the id of the last complete event that had one, or empty.
   const std::string& LastId() const { return mLastId; }
@@ -37,7 +42,10 @@
 private:
   bool AcceptEvent(std::string_view aEvent);
 
-  std::string mPending; ///< Bytes after the last complete event.
+  std::string mPending;     ///< Bytes after the last complete event.
+  std::size_t mLine = 0;    ///< Where the line starts that is incomplete.
+  std::size_t mScanned = 0; ///< Bytes before this are known.
+  bool mHasField = false;   ///< The complete lines hold a field of an event.
   std::string mLastId;
   std::uint64_t mEvents = 0;
 };
--- a/src/forward/event_stream.cpp
+++ b/src/forward/event_stream.cpp
@@ -8,22 +8,12 @@
 
 namespace {
 
-/// Returns the offset after the empty line that ends the first event, or npos.
-std::size_t
-EndOfEvent(std::string_view aText)
+/// Returns whether a line is a field that makes up an event.
+bool
+IsEventField(std::string_view aLine)
 {
-  std::size_t line = 0;
-  while (true) {
-    const auto end = aText.find('\n', line);
-    if (end == std::string_view::npos) {
-      return std::string_view::npos;
-    }
-    const bool empty = end == line || (end == line + 1 && aText[line] == '\r');
-    if (empty) {
-      return end + 1;
-    }
-    line = end + 1;
-  }
+  const auto name = aLine.substr(0, aLine.find(':'));
+  return name == "data" || name == "id";
 }
 
 /// Returns the value of the last "id" line of an event.
@@ -74,22 +64,36 @@
 
 } // namespace
 
-std::string
-EventStream::Add(std::string_view aBytes)
+bool
+EventStream::Add(std::string_view aBytes, std::string& aEvents)
 {
+  aEvents.clear();
   mPending += aBytes;
-  std::string completeEvents;
-  std::string_view rest = mPending;
-  for (auto end = EndOfEvent(rest); end != std::string_view::npos;
-       end = EndOfEvent(rest)) {
-    const auto event = rest.substr(0, end);
+  const std::string_view text = mPending;
+  std::size_t begin = 0;
+  for (auto end = text.find('\n', mScanned); end != std::string_view::npos;
+       end = text.find('\n', mScanned)) {
+    auto line = text.substr(mLine, end - mLine);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    mLine = end + 1;
+    mScanned = mLine;
+    mHasField = mHasField || IsEventField(line);
+    if (!line.empty() || !mHasField) {
+      continue;
+    }
+    const auto event = text.substr(begin, mLine - begin);
     if (AcceptEvent(event)) {
-      completeEvents += event;
+      aEvents += event;
     }
-    rest.remove_prefix(end);
+    begin = mLine;
+    mHasField = false;
   }
-  mPending.erase(0, mPending.size() - rest.size());
-  return completeEvents;
+  mPending.erase(0, begin);
+  mLine -= begin;
+  mScanned = mPending.size();
+  return mPending.size() <= kMaxEventBytes;
 }
 
 bool
@@ -111,6 +115,9 @@
 {
   std::string rest;
   rest.swap(mPending);
+  mLine = 0;
+  mScanned = 0;
+  mHasField = false;
   return rest;
 }
 
--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -453,8 +453,9 @@
 {
   std::string body;
   const auto status = co_await mConnection->ReadRest(
-    body, kMaxBufferedBytes, StepTimeout(*mRequest));
+    body, kMaxBufferedBytes, StepTimeout(*mRequest), &mRequest->bodyMemory);
   if (status != http::CallStatus::kDone) {
+    mRequest->bodyMemory.Clear();
     co_return EndLost(status);
   }
   RecordEvents();
@@ -481,6 +482,7 @@
 {
   auto& events = mRequest->events;
   std::string chunk;
+  std::string completeEvents;
   while (true) {
     mReading = true;
     const auto status =
@@ -492,8 +494,11 @@
     if (chunk.empty()) {
       break;
     }
-    std::string completeEvents = events.Add(chunk);
+    const bool bounded = events.Add(chunk, completeEvents);
     if (completeEvents.empty()) {
+      if (!bounded) {
+        co_return EndLost(http::CallStatus::kTooLarge);
+      }
       continue;
     }
     RecordEvents();
--- a/tests/strange_answers_process_test.cpp
+++ b/tests/strange_answers_process_test.cpp
@@ -392,5 +392,113 @@
   EXPECT_EQ(result.wait_for(Seconds(0)), std::future_status::ready);
 }
 
+// Guards against callers that wait for events in vain while their server goes
+// on to send other bytes, although another server could continue the stream.
+TEST_F(StrangeAnswers, AStreamWithoutEventsMovesToAnotherServer)
+{
+  auto& strange = Add("i-1", "language", 32);
+  Add("i-2", "language", 32);
+  Start();
+  for (const auto part : { EndlessPart::kComments,
+                           EndlessPart::kEmptyLines,
+                           EndlessPart::kEvent,
+                           EndlessPart::kHeaders }) {
+    strange.AnswerWithoutEnd(Milliseconds(20), part);
+    std::vector<std::pair<CallSpec, PlatformFleet::Pending>> pending;
+    for (int i = 0; i < 4; ++i) {
+      const auto call = NextCall("quotes");
+      pending.emplace_back(call, mFleet.StartCall(0, call));
+    }
+    for (auto& [call, result] : pending) {
+      const auto answer = result.Result();
+      EXPECT_EQ(answer.status, CallStatus::kDone) << static_cast<int>(part);
+      EXPECT_EQ(answer.response.body, ExpectedBody(call))
+        << static_cast<int>(part);
+    }
+  }
+  EXPECT_GT(strange.Runs().size(), 0u);
+}
+
+/// Time between two bytes; zero: as fast as possible.
+class EndlessAnswers
+  : public StrangeAnswers
+  , public ::testing::WithParamInterface<int>
+{};
+
+// Guards against a VM that fails, uses memory without bound, serves nobody else
+// or gives no final answer while servers send bytes without end.
+TEST_P(EndlessAnswers, LeaveTheVmSound)
+{
+  constexpr int kCallsPerKind = 4 * standins::kEndlessParts;
+  constexpr int kDeadlineMillis = 2000;
+  constexpr int kRounds = 2;
+  /// Bytes of one send that are not counted against the memory for bodies:
+  /// unparsed bytes, an event, an uncounted body; strings may have twice the
+  /// size.
+  constexpr double kMegabytesPerCall = 2 * (32 + 64 + 16 + 16) / 1024.0;
+  constexpr double kMegabytesOfBodies = 2 * 32;
+  const Milliseconds pause(GetParam());
+  auto& first = Add("i-1", "language", 400);
+  auto& second = Add("i-2", "language", 400);
+  auto& orders = Add("o-1", "orders", 400);
+  Add("n-1", "notes");
+  Start();
+  auto& process = mFleet.Vms()[0].process;
+  const double idle = load::UsageOf(process.Id()).residentMegabytes;
+  for (auto* engine : { &first, &second, &orders }) {
+    engine->AnswerWithoutEnd(pause);
+  }
+  double peak = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<std::pair<CallSpec, PlatformFleet::Pending>> pending;
+    const TimePoint end =
+      Clock::now() + Milliseconds(kDeadlineMillis) + kAnswerSlack;
+    for (int i = 0; i < kCallsPerKind; ++i) {
+      for (const auto* kind : { "quotes", "deposits", "stock" }) {
+        const auto call = NextCall(kind, kDeadlineMillis);
+        pending.emplace_back(call, mFleet.StartCall(0, call));
+      }
+    }
+    while (Clock::now() < end) {
+      const auto usage = load::UsageOf(process.Id());
+      peak = std::max(peak, usage.residentMegabytes);
+      const auto note = NextCall("notes", 1000);
+      const auto result = mFleet.Call(0, note);
+      EXPECT_EQ(result.response.status, 200);
+      EXPECT_EQ(result.response.body, ExpectedBody(note));
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+    for (auto& [call, result] : pending) {
+      ASSERT_TRUE(result.Ended()) << call.path;
+      const auto answer = result.Result();
+      EXPECT_NE(answer.status, CallStatus::kSilent) << call.path;
+      if (call.path.starts_with("/deposits/")) {
+        EXPECT_EQ(answer.status, CallStatus::kDone) << call.path;
+        EXPECT_NE(answer.response.status, 200) << call.path;
+        mStatuses[call.id] = answer.response.status;
+      }
+    }
+  }
+  ASSERT_TRUE(process.Running());
+  const auto bound = 3 * kCallsPerKind * kMegabytesPerCall + kMegabytesOfBodies;
+  EXPECT_LT(peak - idle, bound);
+  EXPECT_LT(peak, kVmMegabytes);
+  RecordProperty("PeakMegabytes", static_cast<int>(peak));
+  RecordProperty(
+    "CpuMilliseconds",
+    static_cast<int>(load::UsageOf(process.Id()).cpuSeconds * 1000));
+  RecordProperty("IdleMegabytes", static_cast<int>(idle));
+  RecordProperty("Runs", static_cast<int>(RunCounts().size()));
+  ExpectTruePromises();
+}
+
+INSTANTIATE_TEST_SUITE_P(Speeds,
+                         EndlessAnswers,
+                         ::testing::Values(0, 100),
+                         [](const auto& aInfo) {
+                           return std::string(aInfo.param == 0 ? "Fast"
+                                                               : "Slow");
+                         });
+
 } // namespace
 } // namespace magnoliatide::tests
