End answers without content at the gateway

Callers of the gateway waited as long as a server went on to send bytes that are no part of an answer: each byte restarted the timeout.

A stream's silence is now the time spent reading since its last event, and an unstreamed answer ends at the request's deadline at the latest. Its body is counted against the memory for all bodies.

--- a/src/entry/gateway_core.h
+++ b/src/entry/gateway_core.h
@@ -52,6 +52,7 @@
   std::uint64_t attempt = 0; ///< Of a guarded call, from the key guard.
   std::string backend;       ///< Backend server to which it was sent.
   std::shared_ptr<http::ClientConnection> connection;
+  http::BodyMemory bodyMemory;     ///< Of the answer's body.
   bool callerDisconnected = false; ///< Used on the caller's event loop only.
 
   TimePoint sent{}; ///< When the send began; zero before.
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -156,6 +156,8 @@
     "prefill_tokens_total",
     {},
     static_cast<std::uint64_t>(request.schedulerRequest.size.promptTokens));
+  aJob->connection->EndBy(request.stream ? TimePoint::max()
+                                         : request.schedulerRequest.deadline);
   auto status =
     co_await aJob->connection->Send(request.outgoing, StepTimeout(*aJob));
   if (status == http::CallStatus::kDone) {
@@ -209,7 +211,7 @@
   RecordFirstByte(aJob);
   http::Response answer = HeadForCaller(aHead, *aJob);
   const auto status = co_await aJob->connection->ReadRest(
-    answer.body, kMaxAnswerBytes, StepTimeout(*aJob));
+    answer.body, kMaxAnswerBytes, StepTimeout(*aJob), &aJob->bodyMemory);
   if (status != http::CallStatus::kDone) {
     co_await RefuseAfterLoss(aJob, status);
     co_return status;
@@ -226,9 +228,13 @@
   EventScanner scanner;
   bool open = co_await aJob->exchange.BeginStream(HeadForCaller(aHead, *aJob));
   std::string chunk;
+  Duration silence{}; // Time spent reading since the last event.
   while (open) {
+    const double events = scanner.Events();
+    const auto begin = Clock::now();
     const auto status =
-      co_await aJob->connection->ReadSome(chunk, StepTimeout(*aJob));
+      co_await aJob->connection->ReadSome(chunk, StepTimeout(*aJob) - silence);
+    silence += Clock::now() - begin;
     if (status != http::CallStatus::kDone) {
       aJob->exchange.Abort();
       CountEnd(*aJob, "cut", "");
@@ -241,6 +247,9 @@
       RecordFirstByte(aJob);
     }
     scanner.Add(chunk);
+    if (scanner.Events() > events) {
+      silence = Duration::zero();
+    }
     open = co_await aJob->exchange.WriteChunk(std::move(chunk));
   }
   aJob->report.outputTokens = scanner.Events();
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -21,6 +21,8 @@
 constexpr double kBytesPerToken = 4;
 constexpr std::size_t kBlockBytes = 256;
 constexpr double kTokensPerBlock = 64;
+constexpr Duration kDripPause = Milliseconds(100);
+
 /// Time after which a silent handler returns, longer than any test.
 constexpr Duration kSilenceTime = std::chrono::minutes(10);
 
@@ -31,6 +33,7 @@
   bool silent = false;    ///< Never answers.
   int silentAnswers = 0;  ///< Next answers that stall halfway and stay open.
   int cutAnswers = 0;     ///< Next answers whose connection is closed halfway.
+  int drippedAnswers = 0; ///< Next answers that go on without content.
   int crossedAnswers = 0; ///< Next answers with the id of another request.
   bool leaving = false;   ///< Answers have "X-Backend-State: leaving".
   bool unhealthy = false; ///< GET /health answers 503.
@@ -254,10 +257,18 @@
         co_return;
       }
       co_await Pause(TokenTime() * mOptions.tokensPerWrite);
-      if (co_await ApplyMidAnswerFault(aExchange, i, aPrompt)) {
+      if (mFaults.drippedAnswers == 0 &&
+          co_await ApplyMidAnswerFault(aExchange, i, aPrompt)) {
         co_return;
       }
     }
+    if (mFaults.drippedAnswers > 0) {
+      mFaults.drippedAnswers -= 1;
+      if (co_await aExchange.BeginStream(std::move(aHead))) {
+        co_await Drip(aExchange, " ");
+      }
+      co_return;
+    }
     aHead.body = R"({"marker":")" + Marker(aPrompt) + R"(","usage":{)" +
                  R"("completion_tokens":)" + std::to_string(aPrompt.output) +
                  R"(},"choices":[{"message":{"content":")" +
@@ -292,6 +303,17 @@
     }
   }
 
+  /// Writes a text again and again until the caller disconnects.
+  static asio::awaitable<void> Drip(http::Exchange& aExchange,
+                                    std::string aText)
+  {
+    bool open = true;
+    while (open) {
+      co_await Pause(kDripPause);
+      open = co_await aExchange.WriteChunk(aText);
+    }
+  }
+
   /// Cuts or stalls the answer if such a fault is set and half of the tokens
   /// are generated. Returns whether the answer has ended.
   asio::awaitable<bool> ApplyMidAnswerFault(http::Exchange& aExchange,
@@ -304,6 +326,11 @@
       aExchange.Abort();
       co_return true;
     }
+    if (pastHalf && mFaults.drippedAnswers > 0) {
+      mFaults.drippedAnswers -= 1;
+      co_await Drip(aExchange, ": wait\n\n");
+      co_return true;
+    }
     if (pastHalf && mFaults.silentAnswers > 0) {
       mFaults.silentAnswers -= 1;
       co_await Pause(kSilenceTime);
@@ -348,6 +375,8 @@
       NumberParameter(aRequest, "unhealthy", mFaults.unhealthy) != 0;
     mFaults.silentAnswers = static_cast<int>(
       NumberParameter(aRequest, "silent-answers", mFaults.silentAnswers));
+    mFaults.drippedAnswers = static_cast<int>(
+      NumberParameter(aRequest, "drip", mFaults.drippedAnswers));
     mFaults.cutAnswers =
       static_cast<int>(NumberParameter(aRequest, "cut", mFaults.cutAnswers));
     mFaults.crossedAnswers = static_cast<int>(
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -101,6 +101,38 @@
   EXPECT_GT(load::RunLog().size() + log.size(), 0u);
 }
 
+// Guards against callers that wait forever because an engine goes on to send
+// bytes that are no part of an answer.
+TEST(Answers, BytesWithoutContentAreNoProgress)
+{
+  load::Fleet fleet(SmallFleet("dripped"));
+  ASSERT_TRUE(fleet.Start());
+  fleet.SetFaults(fleet.Backends()[0].address, "drip=3");
+  const auto records = SendAll(fleet, { Quotes(90, Seconds(2)) }, 10);
+  load::RunLog log;
+  const auto findings = CheckRun(fleet, records, log);
+  EXPECT_TRUE(findings.Passed()) << Examples(findings);
+  EXPECT_EQ(CountOf(records, SendOutcome::kCut), 3) << OutcomeCounts(records);
+}
+
+// Guards against callers that wait beyond their deadline because an engine
+// sends an unstreamed answer without end.
+TEST(Answers, AnUnstreamedAnswerWithoutEndIsUnknownAtTheDeadline)
+{
+  load::Fleet fleet(SmallFleet("dripped-unstreamed"));
+  ASSERT_TRUE(fleet.Start());
+  fleet.SetFaults(fleet.Backends()[0].address, "drip=2");
+  auto unstreamed = Quotes(20, Seconds(2));
+  unstreamed.stream = false;
+  unstreamed.deadline = Seconds(4);
+  const auto records = SendAll(fleet, { unstreamed }, 11);
+  load::RunLog log;
+  const auto findings = CheckRun(fleet, records, log);
+  EXPECT_TRUE(findings.Passed()) << Examples(findings);
+  EXPECT_EQ(CountOf(records, SendOutcome::kUnknown), 2)
+    << OutcomeCounts(records);
+}
+
 // Guards against a second dispatch of requests that were running at an engine
 // when it was killed.
 TEST(Answers, OneDispatchWhileAnEngineIsKilledAndRestarted)
