Test that a late answer without an id is not given

A server that writes a second answer when the connection's next request begins to run had it relayed as that request's answer, if it bears no id.

--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -212,6 +212,7 @@
     }
     mSockets.erase(&aSocket);
     mRefusals.erase(&aSocket);
+    mLateAnswers.erase(&aSocket);
   }
 
   /// Returns the fault of the next request, and counts that request.
@@ -304,6 +305,16 @@
     co_await Write(aSocket, text);
   }
 
+  asio::awaitable<void> WriteLateAnswer(tcp::socket& aSocket)
+  {
+    const auto found = mLateAnswers.find(&aSocket);
+    if (found != mLateAnswers.end()) {
+      const auto text = std::move(found->second);
+      mLateAnswers.erase(found);
+      co_await Write(aSocket, text);
+    }
+  }
+
   /// Sends the next part without end, until the caller closes the connection.
   asio::awaitable<void> AnswerEndlessly(tcp::socket& aSocket,
                                         const Message& aMessage)
@@ -420,6 +431,7 @@
     mRunning += 1;
     auto& run = RecordRun(aParser.get());
     co_await RepeatRefusal(aSocket, RefusalFault::Repeat::kBeforeRun);
+    co_await WriteLateAnswer(aSocket);
     co_await Sleep(mOptions.firstByteDelay);
     const bool complete = co_await Reply(aSocket, run, aFault);
     RecordEnd(run, complete);
@@ -452,6 +464,10 @@
       case EngineFault::kGarbage:
         co_await Write(aSocket, "no answer at all\r\n\r\n");
         co_return false;
+      case EngineFault::kLateAnswer:
+        mLateAnswers[&aSocket] =
+          MakeResponse(200, "not asked for", signature, false);
+        break;
       case EngineFault::kFalsePromise:
         co_return co_await Write(aSocket,
                                  MakeResponse(503, "failed", id, false));
@@ -593,6 +609,7 @@
   RefusalFault mRefusalFault;
   /// Refusals that are to be written once more, by connection.
   std::map<tcp::socket*, std::string> mRefusals;
+  std::map<tcp::socket*, std::string> mLateAnswers; ///< By connection.
   /// Time between two bytes of answers without end; none: sound answers.
   std::optional<Duration> mEndlessPause;
   std::optional<EndlessPart> mEndlessPart;
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -34,12 +34,15 @@
 enum class EngineFault
 {
   kNone,
-  kFailed,          ///< Runs the request and answers 500.
-  kLost,            ///< Runs the request and closes without an answer.
-  kCut,             ///< Closes the connection in the middle of the answer.
-  kUnsigned,        ///< Answers without its signature.
-  kGarbage,         ///< Sends bytes that are not HTTP.
-  kExtraAnswer,     ///< Sends a second answer after the right one.
+  kFailed,      ///< Runs the request and answers 500.
+  kLost,        ///< Runs the request and closes without an answer.
+  kCut,         ///< Closes the connection in the middle of the answer.
+  kUnsigned,    ///< Answers without its signature.
+  kGarbage,     ///< Sends bytes that are not HTTP.
+  kExtraAnswer, ///< Sends a second answer after the right one.
+  /// Writes a second answer without an id when the connection's next request
+  /// begins to run.
+  kLateAnswer,
   kUnframed,        ///< Answers without a length and closes the connection.
   kFull,            ///< Answers 503 with Not-Executed and runs nothing.
   kSilent,          ///< Runs the request and never answers.
--- a/tests/strange_answers_process_test.cpp
+++ b/tests/strange_answers_process_test.cpp
@@ -271,6 +271,20 @@
   ExpectTruePromises();
 }
 
+// Guards against an answer without an id that belongs to an earlier request.
+TEST_F(StrangeAnswers, ALateAnswerWithoutIdIsNotGiven)
+{
+  auto& engine = Add("o-1", "orders");
+  Start();
+  engine.SetFault(EngineFault::kLateAnswer);
+  for (int i = 0; i < 6; ++i) {
+    const auto call = NextCall("deposits");
+    const auto result = Send(call);
+    EXPECT_EQ(result.response.status, 200);
+    EXPECT_EQ(result.response.body, ExpectedBody(call));
+  }
+}
+
 // Guards against a request that waits until its deadline although its server
 // refused it: refusals may come without an id, also on a kept connection.
 TEST_F(StrangeAnswers, ARefusalWithoutIdOnAKeptConnectionEndsTheSend)
