--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -38,7 +38,13 @@
 /// Idle time for servers that announce no timeout.
 constexpr Duration kDefaultKeepAlive = Milliseconds(1500);
 
-constexpr std::size_t kMaxNotRunBytes = 64 * 1024;
+/// Maximum size of a body that is not used.
+constexpr std::size_t kMaxSkippedBytes = 64 * 1024;
+
+/// How long to wait for the body of an answer that states "not run", so that
+/// the connection can be kept.
+constexpr Duration kSkipTimeout = Milliseconds(100);
+
 constexpr std::size_t kMaxBufferedBytes = 8 * 1024 * 1024;
 /// Answers to other requests that are read before the connection is closed.
 constexpr int kMaxForeignAnswers = 4;
@@ -101,7 +107,12 @@
                   unanswered ? "connect timed out" : "cannot connect");
   }
   if (!mParams.usable(mServer)) {
-    mParams.pool->Release(mRequest->executor, mServer.address, mConnection);
+    if (mReused) {
+      mParams.pool->Release(mRequest->executor,
+                            mServer.address,
+                            { mConnection, mCarriedRefusal },
+                            kDefaultKeepAlive);
+    }
     co_return End(
       SendOutcome::kNotRun,
       policy::SendResult::kNotSent,
@@ -285,11 +296,16 @@
     co_return connected;
   }
   const bool retryable = mRequest->route->IsRetryable();
-  mConnection =
-    mParams.pool->TakeIdle(mRequest->executor,
-                           mServer.address,
-                           retryable ? kMaxIdle : kMaxIdleNonRetryable);
-  if (mConnection) {
+  backend::KeptConnection kept;
+  // Without an id, the answer could be the one to an earlier request.
+  if (!mRequest->call.id.empty()) {
+    kept = mParams.pool->TakeIdle(mRequest->executor,
+                                  mServer.address,
+                                  retryable ? kMaxIdle : kMaxIdleNonRetryable);
+  }
+  if (kept.connection && !mRequest->WasSentOn(kept.connection)) {
+    mConnection = std::move(kept.connection);
+    mCarriedRefusal = kept.carriedRefusal;
     mReused = true;
     if (mRelaying) {
       mRequest->connection = mConnection;
@@ -304,6 +320,7 @@
 Sender::OpenConnection()
 {
   mReused = false;
+  mCarriedRefusal = false;
   mConnection = mParams.pool->Make(mRequest->executor, mServer.address);
   if (mRelaying) {
     mRequest->connection = mConnection;
@@ -327,6 +344,8 @@
   options.timeLeft = mRequest->TimeLeft(mSentAt);
   options.lastEventId = mRequest->events.LastId();
   auto message = mParams.dialect->EncodeForServer(mRequest->call, options);
+  mConnection->EndBy(mSentAt + StepTimeout(*mRequest));
+  mRequest->usedConnections.push_back(mConnection);
   const auto status =
     co_await mConnection->Send(std::move(message), StepTimeout(*mRequest));
   const bool sent = status != http::CallStatus::kNotSent;
@@ -347,6 +366,13 @@
   if (head.notRun) {
     co_return co_await HandleNotRun(std::move(head));
   }
+  if (head.unprovenRefusal) {
+    mConnection->Close();
+    co_return End(SendOutcome::kLost,
+                  policy::SendResult::kFailed,
+                  "the server refused without the statement that the request "
+                  "did not run");
+  }
   const bool success = head.status >= 200 && head.status < 300;
   // A body with a content encoding does not consist of the server's own bytes.
   if (success && (!head.signedByServer || head.encoded)) {
@@ -362,8 +388,8 @@
   co_return co_await RelayBuffered(std::move(head));
 }
 
-/// Reads responses until one has this request's id. A late answer to an earlier
-/// request on the connection may arrive first and is discarded.
+/// Reads responses until one answers this send. A late or repeated answer to an
+/// earlier request on the connection may arrive first and is discarded.
 asio::awaitable<http::CallStatus>
 Sender::ReadMatchingHead(AnswerHead& aHead)
 {
@@ -375,14 +401,13 @@
       co_return status;
     }
     aHead = mParams.dialect->DecodeHead(response);
-    const auto& id = mRequest->call.id;
-    if (aHead.requestId.empty() || aHead.requestId == id) {
+    if (IsOwnAnswer(aHead)) {
       co_return http::CallStatus::kDone;
     }
+    mForeignAnswer = true;
     mParams.metrics->Count("foreign_answers_total");
-    std::string body;
-    status = co_await mConnection->ReadRest(
-      body, kMaxBufferedBytes, StepTimeout(*mRequest));
+    status =
+      co_await mConnection->SkipRest(kMaxSkippedBytes, StepTimeout(*mRequest));
     if (status != http::CallStatus::kDone) {
       co_return status;
     }
@@ -391,15 +416,31 @@
   co_return http::CallStatus::kCut;
 }
 
+/// Returns whether an answer can only be the one to this send. A request is
+/// sent only once on a connection, so its id proves that. Without an id, the
+/// answer is the first one on a new connection, or a refusal on a connection
+/// that has not carried one which could be repeated.
+bool
+Sender::IsOwnAnswer(const AnswerHead& aHead) const
+{
+  if (!aHead.requestId.empty()) {
+    return aHead.requestId == mRequest->call.id;
+  }
+  return !mForeignAnswer && (!mReused || (aHead.notRun && !mCarriedRefusal));
+}
+
 asio::awaitable<SendEnd>
 Sender::HandleNotRun(AnswerHead aHead)
 {
   mRequest->runs -= 1;
-  std::string body;
-  const auto status = co_await mConnection->ReadRest(
-    body, kMaxNotRunBytes, StepTimeout(*mRequest));
-  if (status == http::CallStatus::kDone) {
+  mCarriedRefusal = true;
+  const auto status =
+    co_await mConnection->SkipRest(kMaxSkippedBytes, kSkipTimeout);
+  // Repeated without an id, the refusal could not be told from another one.
+  if (status == http::CallStatus::kDone && !aHead.requestId.empty()) {
     KeepConnection(aHead);
+  } else {
+    mConnection->Close();
   }
   if (aHead.otherInstance) {
     ReportLeaving("another server has the address");
@@ -416,8 +457,9 @@
 {
   std::string body;
   const auto status = co_await mConnection->ReadRest(
-    body, kMaxBufferedBytes, StepTimeout(*mRequest));
+    body, kMaxBufferedBytes, StepTimeout(*mRequest), &mRequest->bodyMemory);
   if (status != http::CallStatus::kDone) {
+    mRequest->bodyMemory.Clear();
     co_return EndLost(status);
   }
   RecordEvents();
@@ -444,6 +486,7 @@
 {
   auto& events = mRequest->events;
   std::string chunk;
+  std::string completeEvents;
   while (true) {
     mReading = true;
     const auto status =
@@ -455,8 +498,11 @@
     if (chunk.empty()) {
       break;
     }
-    std::string completeEvents = events.Add(chunk);
+    const bool bounded = events.Add(chunk, completeEvents);
     if (completeEvents.empty()) {
+      if (!bounded) {
+        co_return EndLost(http::CallStatus::kTooLarge);
+      }
       continue;
     }
     RecordEvents();
@@ -514,12 +560,16 @@
 void
 Sender::KeepConnection(const AnswerHead& aHead)
 {
+  if (mForeignAnswer) {
+    mConnection->Close();
+    return;
+  }
   const Duration keepAlive =
     aHead.idleTimeout.value_or(kDefaultKeepAlive + kIdleMargin);
   if (keepAlive > kIdleMargin) {
     mParams.pool->Release(mRequest->executor,
                           mServer.address,
-                          std::move(mConnection),
+                          { std::move(mConnection), mCarriedRefusal },
                           keepAlive - kIdleMargin);
   }
 }
