Watch the caller of a pipelined request as well

The caller of a request that was read together with an earlier one was not watched: its watch was not started while the cancelled watch of the earlier request was still in the queue, so that a server worked on after the caller had left. Evidence: TheSecondOfTwoRequestsIsWatchedToo failed before. The cancelled watch now starts the next one.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -348,7 +348,17 @@
       tcp::socket::wait_read,
       [self = shared_from_this()](const ErrorCode& aError) {
         self->mWatching = false;
-        if (aError || !self->mServing) {
+        if (!self->mServing) {
+          return;
+        }
+        if (aError == asio::error::operation_aborted && self->mOnDisconnect &&
+            self->mStream.socket().is_open()) {
+          // The watch of an earlier request has ended only now.
+          self->mWatching = true;
+          self->WatchForDisconnect();
+          return;
+        }
+        if (aError) {
           return;
         }
         char byte = 0;
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -810,5 +810,33 @@
   }
 }
 
+// Guards against a server that does not notice that its caller has left,
+// because the watch of an earlier request on the connection is still ending.
+TEST_F(HttpServer, TheSecondOfTwoRequestsIsWatchedToo)
+{
+  std::atomic<int> left{ 0 };
+  std::atomic<bool> waiting{ false };
+  Start([&](Exchange& aExchange) -> asio::awaitable<void> {
+    aExchange.OnCallerDisconnect([&left] { left.fetch_add(1); });
+    if (aExchange.Incoming().target == "/y") {
+      waiting.store(true);
+      asio::steady_timer timer(co_await asio::this_coro::executor,
+                               Milliseconds(300));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_await Echo(aExchange);
+  });
+  Caller caller(mPort);
+  caller.Send(std::string(kGet) + kGetY);
+  EXPECT_NE(caller.ReadUntil("to /x").find("to /x"), std::string::npos);
+  EXPECT_TRUE(AwaitTrue([&] { return waiting.load(); }));
+  std::this_thread::sleep_for(Milliseconds(50));
+  EXPECT_EQ(left.load(), 0);
+  caller.Close();
+  EXPECT_TRUE(
+    AwaitTrue([&] { return mServer->Counters().inProgress.load() == 0; }));
+  EXPECT_EQ(left.load(), 1);
+}
+
 } // namespace
 } // namespace magnoliatide::http
