Connect the callers of the drain test before the stop

Under load a caller of EveryRequestThatIsHandledIsAnswered connected after the stop and ended the test program by the exception (once in 6 repetitions). The callers now connect first; what the test expects is unchanged.

--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -458,10 +458,14 @@
       handled.fetch_add(1);
       co_await Echo(aExchange);
     });
-    std::vector<std::thread> callers;
+    // All connect before the stop, after which connections are refused.
+    mCallers.clear();
     for (int i = 0; i < 8; ++i) {
-      callers.emplace_back([&] {
-        Caller caller(mPort);
+      mCallers.push_back(std::make_unique<Caller>(mPort));
+    }
+    std::vector<std::thread> threads;
+    for (const auto& each : mCallers) {
+      threads.emplace_back([&, &caller = *each] {
         std::string answer = "to /x";
         while (answer.find("to /x") != std::string::npos) {
           caller.Send(kGet);
@@ -472,8 +476,8 @@
     }
     std::this_thread::sleep_for(Milliseconds(20 + round));
     mServer->Drain();
-    for (auto& caller : callers) {
-      caller.join();
+    for (auto& thread : threads) {
+      thread.join();
     }
     EXPECT_TRUE(AwaitTrue([&] { return mServer->Drained(); }));
     EXPECT_GT(handled.load(), 0);
