--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -458,10 +458,14 @@
       handled.fetch_add(1);
       co_await Echo(aExchange);
     });
-    std::vector<std::thread> callers;
+    // All connect before the stop, after which connections are refused.
+    mCallers.clear();
     for (int i = 0; i < 8; ++i) {
-      callers.emplace_back([&] {
-        Caller caller(mPort);
+      mCallers.push_back(std::make_unique<Caller>(mPort));
+    }
+    std::vector<std::thread> threads;
+    for (const auto& each : mCallers) {
+      threads.emplace_back([&, &caller = *each] {
         std::string answer = "to /x";
         while (answer.find("to /x") != std::string::npos) {
           caller.Send(kGet);
@@ -472,8 +476,8 @@
     }
     std::this_thread::sleep_for(Milliseconds(20 + round));
     mServer->Drain();
-    for (auto& caller : callers) {
-      caller.join();
+    for (auto& thread : threads) {
+      thread.join();
     }
     EXPECT_TRUE(AwaitTrue([&] { return mServer->Drained(); }));
     EXPECT_GT(handled.load(), 0);
@@ -810,5 +814,33 @@
   }
 }
 
+// Guards against a server that does not notice that its caller has left,
+// because the watch of an earlier request on the connection is still ending.
+TEST_F(HttpServer, TheSecondOfTwoRequestsIsWatchedToo)
+{
+  std::atomic<int> left{ 0 };
+  std::atomic<bool> waiting{ false };
+  Start([&](Exchange& aExchange) -> asio::awaitable<void> {
+    aExchange.OnCallerDisconnect([&left] { left.fetch_add(1); });
+    if (aExchange.Incoming().target == "/y") {
+      waiting.store(true);
+      asio::steady_timer timer(co_await asio::this_coro::executor,
+                               Milliseconds(300));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_await Echo(aExchange);
+  });
+  Caller caller(mPort);
+  caller.Send(std::string(kGet) + kGetY);
+  EXPECT_NE(caller.ReadUntil("to /x").find("to /x"), std::string::npos);
+  EXPECT_TRUE(AwaitTrue([&] { return waiting.load(); }));
+  std::this_thread::sleep_for(Milliseconds(50));
+  EXPECT_EQ(left.load(), 0);
+  caller.Close();
+  EXPECT_TRUE(
+    AwaitTrue([&] { return mServer->Counters().inProgress.load() == 0; }));
+  EXPECT_EQ(left.load(), 1);
+}
+
 } // namespace
 } // namespace magnoliatide::http
