Make the test of a repeated own refusal independent of the choice of server

The test needs a request that is answered 421 and then sent to the same address. Which server comes first was left to the scheduler; in 1 of 5 runs none was answered 421 and the test failed. Now two calls run at a time, so that the second one goes to the other entry of the address; the checks are the same.

--- a/tests/strange_answers_process_test.cpp
+++ b/tests/strange_answers_process_test.cpp
@@ -247,27 +247,30 @@
 // another one at its address, and then gets the same request.
 TEST_F(StrangeAnswers, ARefusalOfTheSameRequestIsBelievedOnlyOnce)
 {
-  auto& engine = Add("o-1", "orders");
+  auto& engine = Add("o-1", "orders", 1);
   Start();
   engine.SetRefusalFault({ Repeat::kBeforeRun });
-  int moved = 0;
   for (int round = 0; round < 20; ++round) {
     mFleet.Store().Put("servers/o-0" + std::to_string(round),
                        engine.Entry(false));
     std::this_thread::sleep_for(Milliseconds(100));
+    // While the server runs the first call, the second one goes to the other
+    // entry of its address.
+    std::vector<std::pair<CallSpec, PlatformFleet::Pending>> pending;
     for (int i = 0; i < 2; ++i) {
       const auto call = NextCall("deposits");
-      const auto arrivals = engine.Arrivals();
-      const auto result = Send(call);
-      if (RunCounts()[call.id] == 0) {
-        continue;
+      pending.emplace_back(call, mFleet.StartCall(0, call));
+    }
+    for (auto& [call, result] : pending) {
+      const auto answer = result.Result();
+      mStatuses[call.id] = answer.response.status;
+      if (RunCounts()[call.id] > 0) {
+        EXPECT_EQ(answer.response.status, 200);
+        EXPECT_EQ(answer.response.body, ExpectedBody(call));
       }
-      EXPECT_EQ(result.response.status, 200);
-      EXPECT_EQ(result.response.body, ExpectedBody(call));
-      moved += engine.Arrivals() - arrivals - 1;
     }
   }
-  EXPECT_GT(moved, 0);
+  EXPECT_GT(engine.Arrivals(), static_cast<int>(engine.Runs().size()));
   ExpectTruePromises();
 }
 
