Start the exchange between VMs again after an exception

An exception in the coroutine that fetches items from other VMs left the mark that a fetch is in progress, so a VM without access to the store would have got nothing any more. It now runs as a control task. No input is known that causes one.

--- a/src/node/replica_service.cpp
+++ b/src/node/replica_service.cpp
@@ -1,6 +1,8 @@
 // Applies changes of the store replica and exchanges them with other VMs.
 #include "replica_service.h"
 
+#include "control_task.h"
+
 #include "magnoliatide/core/digest.h"
 #include "magnoliatide/routing/change.h"
 #include "magnoliatide/telemetry/log.h"
@@ -297,7 +299,8 @@
               : mPeerSelector.Choose(mReplica.Revision(), Clock::now());
   if (address) {
     mFetching = true;
-    asio::co_spawn(*mParams.loop, Fetch(*address), asio::detached);
+    StartControlTask(
+      *mParams.loop, "fetch", [this, peer = *address] { return Fetch(peer); });
   }
 }
 
