--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -31,6 +31,14 @@
 constexpr Duration kProbePeriod = Milliseconds(200);
 constexpr Duration kMaxRetryAfter = Seconds(1);
 
+/// Part of the idle timeout for which callers leave a connection idle at most.
+constexpr double kMaxIdlePart = 0.8;
+constexpr double kIdleProbability = 0.05;
+
+/// Some calls have a body that is larger by this number of bytes.
+constexpr std::size_t kLargeBody = 8000;
+constexpr double kLargeBodyProbability = 0.05;
+
 /// Prompt tokens and maximum output tokens of each call. Their sum must be
 /// Quota::unitsPerCall.
 constexpr char kUsage[] = "100,40";
@@ -75,7 +83,8 @@
   std::mt19937_64 random;
   std::shared_ptr<http::ClientConnection> connection;
   std::size_t vm = 0;
-  Duration pause{}; ///< Time until the next call.
+  bool keeps = false; ///< Keeps its connection until the VM closes it.
+  Duration pause{};   ///< Time until the next call.
 };
 
 Callers::Callers(tests::PlatformFleet& aFleet, CallersOptions aOptions)
@@ -174,6 +183,7 @@
 {
   Caller caller;
   caller.random.seed(aSeed);
+  caller.keeps = caller.random() % 2 == 0;
   while (!mStopping.load()) {
     co_await SendNextCall(caller);
     co_await Pause(caller.pause);
@@ -181,7 +191,8 @@
 }
 
 /// Sends one call, on the open connection or on a new one to a VM in rotation.
-/// Then keeps or closes the connection at random.
+/// Then keeps or closes the connection at random. A kept connection is used
+/// until the VM closes it, also while the VM drains, and is idle at times.
 asio::awaitable<void>
 Callers::SendNextCall(Caller& aCaller)
 {
@@ -210,9 +221,13 @@
   const Duration leaveAfter =
     leaves ? Between(random, 20, 600) : Duration::zero();
   co_await Exchange(aCaller, record, leaveAfter);
-  if (!aCaller.connection->Reusable() ||
-      RandomFraction(random) > kKeepProbability) {
+  const bool closes =
+    !aCaller.keeps && RandomFraction(random) > kKeepProbability;
+  if (!aCaller.connection->Reusable() || closes) {
     aCaller.connection.reset();
+  } else if (RandomFraction(random) < kIdleProbability) {
+    aCaller.pause = FromSeconds(RandomFraction(random) * kMaxIdlePart *
+                                mIdleMillis.load() / 1000);
   }
 }
 
@@ -221,7 +236,8 @@
 {
   auto& random = aCaller.random;
   constexpr Kind kKinds[] = { Kind::kQuote, Kind::kQuote,   Kind::kLetter,
-                              Kind::kStock, Kind::kDeposit, Kind::kDeposit };
+                              Kind::kStock, Kind::kDeposit, Kind::kDeposit,
+                              Kind::kTrend };
   CallRecord record;
   record.kind = kKinds[random() % std::size(kKinds)];
   record.vm = aCaller.vm;
@@ -231,6 +247,9 @@
   const auto number = ++mNumber;
   record.target = TraitsOf(record.kind).prefix + std::to_string(number);
   record.body = "body of " + std::to_string(number);
+  if (RandomFraction(random) < kLargeBodyProbability) {
+    record.body.append(kLargeBody, 'x');
+  }
   record.deadline = Between(random, 1500, 5000);
   return record;
 }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -27,9 +27,13 @@
   Callers(tests::PlatformFleet& aFleet, CallersOptions aOptions);
   ~Callers();
 
-  /// Sets the configuration version whose route is probed at all VMs; 0 for
-  /// none.
-  void SetVersion(std::uint64_t aVersion) { mVersion.store(aVersion); }
+  /// Sets the configuration version whose route is probed at all VMs, 0 for
+  /// none, and the time for which VMs keep idle connections.
+  void SetVersion(std::uint64_t aVersion, Milliseconds aIdleTimeout)
+  {
+    mVersion.store(aVersion);
+    mIdleMillis.store(static_cast<int>(aIdleTimeout.count()));
+  }
 
   /// Waits for the running calls, stops all callers and returns the calls
   /// sorted by the time they were sent.
@@ -55,6 +59,7 @@
   std::atomic<bool> mStopping{ false };
   std::atomic<int> mRunning{ 0 }; ///< Number of running coroutines.
   std::atomic<std::uint64_t> mVersion{ 0 };
+  std::atomic<int> mIdleMillis{ 1000 };
   std::atomic<std::uint64_t> mNumber{ 0 };    ///< Number of the last call.
   std::vector<std::atomic<bool>> mInRotation; ///< By index of the VM.
   std::mutex mMutex;                          ///< Guards mCalls.
--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 
 namespace magnoliatide::soak {
 
@@ -27,12 +28,35 @@
 /// which a call ends after its deadline.
 constexpr Duration kReleaseTimeout = Milliseconds(500);
 
-/// Timeout of every route.
-constexpr Duration kRouteTimeout = Seconds(5);
-
 /// Extra delay that the test machine may cause while dozens of processes run.
 constexpr Duration kMachineSlack = Milliseconds(300);
 
+/// A request that crosses the close of its connection ends within this time
+/// after it was sent. One that ends later without an answer was read.
+constexpr Duration kLostSlack = Milliseconds(200);
+
+/// How much sooner than at its deadline a VM may end a call, so that the caller
+/// gets the answer before it gives up.
+constexpr Duration kDeadlineMargin = Milliseconds(10);
+
+/// Time from SIGTERM until the platform kills a process.
+constexpr Duration kGraceTime = Seconds(8);
+
+/// A stop may cut a request that is still running after this time, if it was
+/// sent at most kEarlyTime after SIGTERM.
+constexpr Duration kLateTime = kGraceTime * 5 / 6;
+constexpr Duration kEarlyTime = Seconds(3);
+
+/// Time after a pause of a server in which it gets calls again.
+constexpr Duration kPauseRecovery = Seconds(4);
+
+/// Time after the pauses of servers until most calls are served again.
+constexpr Duration kResumeTime = Seconds(1);
+
+/// Minimum number of calls, or calls per server, from which something missing
+/// is concluded.
+constexpr int kMinSample = 20;
+
 /// Minimum fraction of the calls that is served after all faults have ended.
 constexpr double kMinServedFraction = 0.9;
 
@@ -42,6 +66,8 @@
 constexpr int kUnauthorized = 401;
 constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
 
 /// Returns whether a VM's own answer with this status means that the request
 /// did not run.
@@ -59,6 +85,17 @@
          std::to_string(aCall.httpStatus);
 }
 
+/// What the configurations that may apply to a call state about its route.
+struct AppliedTerms
+{
+  bool hasRoute = true;   ///< All of them have the route.
+  bool hasServers = true; ///< All of them name a service with servers.
+  std::set<std::string> services;
+  Duration minTimeout = kRouteTimeout;
+  Duration maxTimeout = kRouteTimeout;
+  int maxAttempts = kMaxServers;
+};
+
 /// Applies all checks to one history.
 class Checker
 {
@@ -81,7 +118,7 @@
       CheckAnswer(call);
       CheckRuns(call);
       CheckTimes(call);
-      CheckPlannedChanges(call);
+      CheckEnd(call);
     }
     for (const auto& run : mHistory.runs) {
       CheckRequest(run);
@@ -89,6 +126,7 @@
     CheckNotices();
     CheckConfigurations();
     CheckQuota();
+    CheckPauses();
     CheckRecovery();
     return std::move(mFindings);
   }
@@ -139,6 +177,63 @@
 
   const std::string& NameOf(std::size_t aVm) const { return mHistory.vms[aVm]; }
 
+  /// Returns the terms of the configurations that may be in force for a call.
+  AppliedTerms TermsFor(const CallRecord& aCall) const
+  {
+    const auto& published = mHistory.published;
+    std::vector<const RouteTerms*> applied;
+    AppliedTerms result;
+    const bool disturbed =
+      Disturbed(NameOf(aCall.vm), aCall.sentAt, aCall.endedAt);
+    for (std::size_t i = 0; i < published.size(); ++i) {
+      const bool replaced =
+        i + 1 < published.size() && !disturbed &&
+        published[i + 1].at + kApplyTimeout + kMachineSlack < aCall.sentAt;
+      const auto found = published[i].routes.find(aCall.kind);
+      if (replaced || published[i].at > aCall.endedAt + kMachineSlack) {
+        continue;
+      }
+      if (found == published[i].routes.end()) {
+        result.hasRoute = false;
+        continue;
+      }
+      applied.push_back(&found->second);
+    }
+    for (const auto* terms : applied) {
+      const bool first = terms == applied.front();
+      result.minTimeout =
+        first ? terms->timeout : std::min(result.minTimeout, terms->timeout);
+      result.maxTimeout =
+        first ? terms->timeout : std::max(result.maxTimeout, terms->timeout);
+      result.maxAttempts =
+        first ? terms->attempts : std::max(result.maxAttempts, terms->attempts);
+      result.services.insert(terms->services.begin(), terms->services.end());
+    }
+    for (const auto& service : result.services) {
+      result.hasServers =
+        result.hasServers && std::any_of(mHistory.services.begin(),
+                                         mHistory.services.end(),
+                                         [&](const auto& aEntry) {
+                                           return aEntry.second == service;
+                                         });
+    }
+    return result;
+  }
+
+  /// Returns from when on a server can notice the end of a connection that was
+  /// ended at a time. A pause that begins before it was due to notice delays
+  /// it.
+  TimePoint NoticesFrom(const std::string& aServer, TimePoint aTime) const
+  {
+    TimePoint result = aTime;
+    for (const auto& pause : mHistory.pauses) {
+      if (pause.server == aServer && pause.from <= result + kReleaseTimeout) {
+        result = std::max(result, pause.until);
+      }
+    }
+    return result;
+  }
+
   /// Checks that a request refused as not run did not run, and that no valid
   /// call is denied.
   void CheckRefusal(const CallRecord& aCall)
@@ -152,7 +247,7 @@
       aCall.kind != Kind::kProbe && aCall.Answered() &&
       (aCall.httpStatus == kUnauthorized || aCall.httpStatus == kForbidden ||
        aCall.httpStatus == kNotFound);
-    if (denied) {
+    if (denied && TermsFor(aCall).hasRoute) {
       Add("a valid call is not denied", Describe(aCall));
     }
   }
@@ -188,7 +283,7 @@
     }
   }
 
-  /// Checks how often a call ran.
+  /// Checks how often a call ran, and where.
   void CheckRuns(const CallRecord& aCall)
   {
     const auto& runs = RunsOf(aCall.id);
@@ -202,10 +297,21 @@
         return !Disturbed(
           aRun->server, aRun->run.began, aRun->run.began + kSettleTime);
       });
-    if (undisturbedRuns > kMaxServers) {
+    const auto terms = TermsFor(aCall);
+    if (undisturbedRuns > terms.maxAttempts) {
       Add("a call is sent to a limited number of servers",
           Describe(aCall) + ", runs " + std::to_string(undisturbedRuns));
     }
+    for (const auto* run : runs) {
+      const auto service = mHistory.services.find(run->server);
+      const bool known =
+        service != mHistory.services.end() && !terms.services.empty();
+      if (known && aCall.kind != Kind::kProbe &&
+          terms.services.count(service->second) == 0) {
+        Add("a call runs at a service of its route",
+            Describe(aCall) + ", at " + run->server);
+      }
+    }
   }
 
   /// Checks that a call ends in time, and that its server is released soon
@@ -213,7 +319,7 @@
   /// once is not checked.
   void CheckTimes(const CallRecord& aCall)
   {
-    const Duration bound = std::min(aCall.deadline, kRouteTimeout);
+    const Duration bound = std::min(aCall.deadline, TermsFor(aCall).maxTimeout);
     const TimePoint due =
       aCall.sentAt + bound + kReleaseTimeout + kMachineSlack;
     const bool late = !aCall.callerDisconnected && aCall.endedAt > due;
@@ -225,9 +331,10 @@
     }
     for (const auto* record : RunsOf(aCall.id)) {
       const auto& run = record->run;
-      const bool held =
-        run.ended != TimePoint{} &&
-        run.ended > aCall.endedAt + kReleaseTimeout + kMachineSlack;
+      // A paused server notices the end of a connection only afterwards.
+      const bool held = run.ended != TimePoint{} &&
+                        run.ended > NoticesFrom(record->server, aCall.endedAt) +
+                                      kReleaseTimeout + kMachineSlack;
       if (held && !AnyUnplannedFault(aCall.sentAt, run.ended) &&
           !Disturbed(NameOf(aCall.vm), aCall.sentAt, run.ended)) {
         Add("a server is released when the caller disconnects",
@@ -236,15 +343,99 @@
     }
   }
 
-  /// Checks that planned changes interrupt no call that reached a server.
-  void CheckPlannedChanges(const CallRecord& aCall)
+  /// Returns the run of a call that began last, or null.
+  const RunRecord* LastRunOf(const CallRecord& aCall)
+  {
+    const auto& runs = RunsOf(aCall.id);
+    const auto last =
+      std::max_element(runs.begin(), runs.end(), [](auto* aL, auto* aR) {
+        return aL->run.arrived < aR->run.arrived;
+      });
+    return last == runs.end() ? nullptr : *last;
+  }
+
+  /// Returns whether a server broke off a run before a time, or mishandled it.
+  bool BrokeOff(const RunRecord& aRun, TimePoint aUntil) const
+  {
+    return aRun.run.fault != standins::EngineFault::kNone ||
+           std::any_of(mHistory.serverEnds.begin(),
+                       mHistory.serverEnds.end(),
+                       [&](const auto& aEnd) {
+                         return aEnd.server == aRun.server &&
+                                aEnd.at >= aRun.run.arrived &&
+                                aEnd.at <= aUntil;
+                       });
+  }
+
+  /// Returns whether a fault of the process or the links of a VM or a server
+  /// was in effect during a call or within kSettleTime before it. Faults of the
+  /// store and of its links excuse no end without an answer; mishandled
+  /// requests excuse only themselves.
+  bool Faulty(const std::string& aHost, const CallRecord& aCall) const
+  {
+    return std::any_of(mHistory.disturbances.begin(),
+                       mHistory.disturbances.end(),
+                       [&](const auto& aD) {
+                         return !aD.planned &&
+                                (aD.host.empty() || aD.host == aHost) &&
+                                aD.kind != "answers" &&
+                                aD.kind != "store link fault" &&
+                                aD.from <= aCall.endedAt &&
+                                aD.until + kSettleTime >= aCall.sentAt;
+                       });
+  }
+
+  /// Returns whether a VM's stop was about to run out of time.
+  bool EndsWithGraceTime(const CallRecord& aCall) const
+  {
+    return std::any_of(mHistory.disturbances.begin(),
+                       mHistory.disturbances.end(),
+                       [&](const auto& aD) {
+                         return aD.kind == "stop" &&
+                                aD.host == NameOf(aCall.vm) &&
+                                aCall.sentAt <= aD.from + kEarlyTime &&
+                                aCall.endedAt >= aD.from + kLateTime &&
+                                aCall.endedAt <= aD.until + kMachineSlack;
+                       });
+  }
+
+  /// Checks that a call which a VM read ends with an answer or a refusal, and
+  /// one that it passed on with the server's answer. Neither planned changes
+  /// nor pauses of servers excuse another end.
+  void CheckEnd(const CallRecord& aCall)
   {
-    const bool cut =
-      aCall.status == http::CallStatus::kCut && !aCall.callerDisconnected;
-    if (cut && !RunsOf(aCall.id).empty() &&
-        !AnyUnplannedFault(aCall.sentAt, aCall.endedAt)) {
-      Add("planned changes interrupt no calls", Describe(aCall));
+    const bool cut = aCall.status == http::CallStatus::kCut;
+    const bool failed =
+      aCall.Answered() && aCall.signature.empty() &&
+      (aCall.httpStatus == kBadGateway || aCall.httpStatus == kGatewayTimeout);
+    const Duration time = aCall.endedAt - aCall.sentAt;
+    if ((!cut && !failed) || aCall.callerDisconnected ||
+        time + kDeadlineMargin >=
+          std::min(aCall.deadline, TermsFor(aCall).minTimeout) ||
+        Faulty(NameOf(aCall.vm), aCall)) {
+      return;
+    }
+    const auto* last = LastRunOf(aCall);
+    if (last == nullptr) {
+      if (cut && time > kLostSlack) {
+        Add("a call that was read is answered or refused", Describe(aCall));
+      }
+      return;
+    }
+    const auto& runs = RunsOf(aCall.id);
+    const bool serverFaulty =
+      std::any_of(runs.begin(), runs.end(), [&](const auto* aRun) {
+        return Faulty(aRun->server, aCall);
+      });
+    if (serverFaulty || BrokeOff(*last, aCall.endedAt) ||
+        EndsWithGraceTime(aCall)) {
+      return;
     }
+    Add(cut ? "a call that was passed on ends with an answer"
+            : "a sound server's answer is not replaced",
+        Describe(aCall) + ", " + std::to_string(ToSeconds(time)) +
+          " s after it was sent, with " +
+          std::to_string(ToSeconds(aCall.deadline)) + " s, at " + last->server);
   }
 
   /// Checks that a server got the request that a caller sent, with the name of
@@ -273,7 +464,7 @@
   {
     for (const auto& notice : mHistory.notices) {
       for (const auto& record : mHistory.runs) {
-        const auto began = record.run.began;
+        const auto began = record.run.arrived;
         const auto call = mCalls.find(record.run.requestId);
         const bool late = record.server == notice.server &&
                           began > notice.at + kApplyTimeout + kMachineSlack &&
@@ -400,7 +591,7 @@
     for (const auto& record : mHistory.runs) {
       const auto call = mCalls.find(record.run.requestId);
       if (record.run.team == quota.team && call != mCalls.end()) {
-        charges.push_back({ record.run.began, call->second->sentAt });
+        charges.push_back({ record.run.arrived, call->second->sentAt });
       }
     }
     std::sort(
@@ -432,6 +623,106 @@
     }
   }
 
+  /// Returns whether a server had a fault or was leaving in a time span or
+  /// within kSettleTime before it.
+  bool Unavailable(const std::string& aServer,
+                   TimePoint aFrom,
+                   TimePoint aUntil) const
+  {
+    const auto overlaps = [&](TimePoint aStart, TimePoint aEnd) {
+      return aStart <= aUntil && aEnd + kSettleTime >= aFrom;
+    };
+    return std::any_of(mHistory.disturbances.begin(),
+                       mHistory.disturbances.end(),
+                       [&](const auto& aD) {
+                         return (aD.host.empty() || aD.host == aServer) &&
+                                overlaps(aD.from, aD.until);
+                       }) ||
+           std::any_of(mHistory.notices.begin(),
+                       mHistory.notices.end(),
+                       [&](const auto& aNotice) {
+                         return aNotice.server == aServer &&
+                                overlaps(aNotice.at, aNotice.replacedAt);
+                       });
+  }
+
+  /// Checks that calls are served again after servers paused, also by the
+  /// paused servers.
+  void CheckPauses()
+  {
+    for (const auto& pause : mHistory.pauses) {
+      const TimePoint end = pause.until + kPauseRecovery;
+      const bool again = std::any_of(
+        mHistory.pauses.begin(), mHistory.pauses.end(), [&](const auto& aP) {
+          return aP.from <= end && aP.until > pause.until;
+        });
+      if (again) {
+        continue;
+      }
+      if (!Unavailable(pause.server, pause.from, end)) {
+        CheckPausedServer(pause, end);
+      }
+      if (!AnyUnplannedFault(pause.from, end)) {
+        CheckServedBetween(
+          pause.until + kResumeTime, end, "calls are served after a pause");
+      }
+    }
+  }
+
+  /// Checks that a paused server gets calls until aEnd, if its service does.
+  void CheckPausedServer(const ServerPause& aPause, TimePoint aEnd)
+  {
+    const auto service = mHistory.services.find(aPause.server);
+    if (service == mHistory.services.end()) {
+      return;
+    }
+    std::map<std::string, int> runs; // By server of the same service.
+    for (const auto& [server, of] : mHistory.services) {
+      if (of == service->second) {
+        runs[server] = 0;
+      }
+    }
+    int total = 0;
+    for (const auto& record : mHistory.runs) {
+      const auto found = runs.find(record.server);
+      if (found != runs.end() && record.run.arrived > aPause.until &&
+          record.run.arrived < aEnd) {
+        found->second += 1;
+        total += 1;
+      }
+    }
+    if (runs[aPause.server] == 0 &&
+        total >= kMinSample * static_cast<int>(runs.size())) {
+      Add("a server that paused gets calls again",
+          aPause.server + ", none of " + std::to_string(total));
+    }
+  }
+
+  /// Checks that most calls that were sent in a time span were served. Calls
+  /// that a configuration does not let run and those of the limited team do not
+  /// count.
+  void CheckServedBetween(TimePoint aFrom,
+                          TimePoint aUntil,
+                          const char* aGuarantee)
+  {
+    int total = 0;
+    int served = 0;
+    for (const auto& call : mHistory.calls) {
+      if (call.sentAt < aFrom || call.sentAt > aUntil ||
+          call.kind == Kind::kProbe || call.callerDisconnected ||
+          call.team == mHistory.quota.team) {
+        continue;
+      }
+      const auto terms = TermsFor(call);
+      const bool counts = terms.hasRoute && terms.hasServers;
+      total += counts ? 1 : 0;
+      served += counts && call.Served() ? 1 : 0;
+    }
+    if (total >= kMinSample && served < kMinServedFraction * total) {
+      Add(aGuarantee, std::to_string(served) + " of " + std::to_string(total));
+    }
+  }
+
   /// Checks that most calls are served after all faults have ended.
   void CheckRecovery()
   {
@@ -467,6 +758,7 @@
     { Kind::kLetter, { "/letters/", "POST", true, true } },
     { Kind::kDeposit, { "/deposits/", "POST", false, true } },
     { Kind::kStock, { "/stock/", "POST", false, false } },
+    { Kind::kTrend, { "/trends/", "POST", true, false } },
     { Kind::kProbe, { "/only-", "GET", false, false } },
   };
   return sTraits.at(aKind);
--- a/soak/checker_test.cpp
+++ b/soak/checker_test.cpp
@@ -36,6 +36,7 @@
     mHistory.vms = { "vm-1", "vm-2" };
     mHistory.faultsEndedAt = At(10000);
     mHistory.quota = { "cutters", 1000, 1000, 140, Seconds(2) };
+    mHistory.services = { { "i-1", "language" }, { "i-2", "speech" } };
     for (int i = 0; i < 100; ++i) {
       Serve(static_cast<Kind>(i % 4), i * 200);
     }
@@ -78,6 +79,7 @@
     run.body = aCall.body;
     run.method = TraitsOf(aCall.kind).method;
     run.team = aCall.team;
+    run.arrived = At(aFrom);
     run.began = At(aFrom);
     run.ended = At(aUntil);
     mHistory.runs.push_back({ aServer, run });
@@ -94,6 +96,39 @@
       { At(aFrom), At(aUntil), aKind, aHost, aPlanned });
   }
 
+  /// Adds a configuration in which all routes have the same terms.
+  Published& Publish(int aMillis, std::uint64_t aVersion)
+  {
+    Published published{ At(aMillis), aVersion, {} };
+    for (const auto kind : { Kind::kQuote,
+                             Kind::kLetter,
+                             Kind::kDeposit,
+                             Kind::kStock,
+                             Kind::kTrend,
+                             Kind::kProbe }) {
+      published.routes[kind].services = { "language" };
+    }
+    mHistory.published.push_back(published);
+    return mHistory.published.back();
+  }
+
+  /// Lets the call with an index end without an answer, after a time.
+  CallRecord& Cut(std::size_t aCall, int aAfterMillis = 100)
+  {
+    auto& call = mHistory.calls[aCall];
+    call.status = http::CallStatus::kCut;
+    call.endedAt = call.sentAt + Milliseconds(aAfterMillis);
+    return call;
+  }
+
+  /// Removes the run of the call with an index.
+  void RemoveRun(std::size_t aCall)
+  {
+    std::erase_if(mHistory.runs, [&](const auto& aRun) {
+      return aRun.run.requestId == mHistory.calls[aCall].id;
+    });
+  }
+
   /// Returns the names of the violated guarantees, each once.
   std::string ViolatedGuarantees() const
   {
@@ -187,16 +222,182 @@
   mHistory.runs[0].run.ended = call.endedAt + Milliseconds(900);
   EXPECT_EQ(ViolatedGuarantees(),
             "a server is released when the caller disconnects");
+  // A paused server notices it only when the pause ends.
+  mHistory.pauses.push_back({ At(50), At(300), "i-1" });
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  mHistory.pauses[0] = { At(500), At(600), "i-1" };
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  mHistory.pauses[0] = { At(50), At(150), "i-1" };
+  EXPECT_EQ(ViolatedGuarantees(),
+            "a server is released when the caller disconnects");
 }
 
+constexpr char kPassedOn[] = "a call that was passed on ends with an answer";
+
+// The call with index 50 is sent at 10 s.
 TEST_F(Soak, ACutByPlannedWorkIsFound)
 {
-  auto& call = mHistory.calls[50];
-  call.status = http::CallStatus::kCut;
+  Cut(50);
+  EXPECT_EQ(ViolatedGuarantees(), kPassedOn);
   Disturb("stop", "vm-1", 9000, 12000, true);
-  EXPECT_EQ(ViolatedGuarantees(), "planned changes interrupt no calls");
-  Disturb("crash", "i-1", 9900, 10000);
+  EXPECT_EQ(ViolatedGuarantees(), kPassedOn);
+  mHistory.pauses.push_back({ At(9500), At(11000), "i-1" });
+  EXPECT_EQ(ViolatedGuarantees(), kPassedOn);
+}
+
+// Guards against faults elsewhere that hide a lost call.
+TEST_F(Soak, ACutBesideAFaultOfSomethingElseIsFound)
+{
+  Cut(50);
+  Disturb("kill", "vm-2", 9000, 11000);
+  Disturb("crash", "i-2", 9000, 11000);
+  Disturb("store", "store", 9000, 11000);
+  Disturb("store link fault", "vm-1", 9000, 11000);
+  Disturb("answers", "i-1", 9000, 11000);
+  Disturb("link fault", "vm-1", 5000, 6900);
+  Disturb("link fault", "vm-1", 10200, 11000);
+  EXPECT_EQ(ViolatedGuarantees(), kPassedOn);
+}
+
+TEST_F(Soak, ACutIsExcusedByWhatCausesIt)
+{
+  Cut(50);
+  auto& run = mHistory.runs[50].run;
+  ASSERT_EQ(run.requestId, mHistory.calls[50].id);
+  for (const char* host : { "", "vm-1", "i-1" }) {
+    Disturb("link fault", host, 9000, 9500);
+    EXPECT_EQ(ViolatedGuarantees(), "") << host;
+    mHistory.disturbances.clear();
+  }
+  run.fault = standins::EngineFault::kCut;
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  run.fault = standins::EngineFault::kNone;
+  mHistory.serverEnds = { { At(10050), "i-1" } };
   EXPECT_EQ(ViolatedGuarantees(), "");
+  mHistory.serverEnds = { { At(10005), "i-1" }, { At(10150), "i-1" } };
+  EXPECT_EQ(ViolatedGuarantees(), kPassedOn);
+  mHistory.serverEnds.clear();
+  mHistory.calls[50].callerDisconnected = true;
+  EXPECT_EQ(ViolatedGuarantees(), "");
+}
+
+TEST_F(Soak, ACutIsExcusedByTheDeadlineOrTheTimeout)
+{
+  Cut(50, 2900);
+  EXPECT_EQ(ViolatedGuarantees(), kPassedOn);
+  Cut(50, 2980);
+  EXPECT_EQ(ViolatedGuarantees(), kPassedOn);
+  Cut(50, 2990);
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  Cut(50, 2900);
+  Publish(0, 1).routes[Kind::kDeposit].timeout = Milliseconds(2850);
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  // By then, that configuration is replaced.
+  Publish(5000, 2);
+  EXPECT_EQ(ViolatedGuarantees(), kPassedOn);
+}
+
+// A stop may cut what is sent early and still runs when the time is almost up.
+TEST_F(Soak, ACutAtTheEndOfAStopIsExcusedForEarlyCallsOnly)
+{
+  mHistory.calls[50].deadline = Seconds(5);
+  Disturb("stop", "vm-1", 7100, 15100, true);
+  Cut(50, 4000);
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  Cut(50, 3000);
+  EXPECT_EQ(ViolatedGuarantees(), kPassedOn);
+  mHistory.disturbances[0].from = At(6900);
+  Cut(50, 4000);
+  EXPECT_EQ(ViolatedGuarantees(), kPassedOn);
+}
+
+TEST_F(Soak, AReadCallWithoutAnyAnswerIsFound)
+{
+  RemoveRun(50);
+  Cut(50, 190);
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  Cut(50, 210);
+  Disturb("stop", "vm-1", 9000, 12000, true);
+  EXPECT_EQ(ViolatedGuarantees(),
+            "a call that was read is answered or refused");
+  Disturb("pause", "vm-1", 9000, 9500);
+  EXPECT_EQ(ViolatedGuarantees(), "");
+}
+
+TEST_F(Soak, AReplacedAnswerIsFound)
+{
+  for (const int status : { 502, 504 }) {
+    auto& call = mHistory.calls[50];
+    call.httpStatus = status;
+    call.signature.clear();
+    EXPECT_EQ(ViolatedGuarantees(), "a sound server's answer is not replaced");
+  }
+  mHistory.runs[50].run.fault = standins::EngineFault::kGarbage;
+  EXPECT_EQ(ViolatedGuarantees(), "");
+}
+
+// Guards against servers that are avoided although their pause has ended.
+TEST_F(Soak, APausedServerThatGetsNoMoreCallsIsFound)
+{
+  mHistory.services["i-2"] = "language";
+  mHistory.pauses.push_back({ At(2000), At(3000), "i-2" });
+  for (int i = 0; i < 40; ++i) {
+    Serve(Kind::kStock, 3100 + i * 50);
+  }
+  EXPECT_EQ(ViolatedGuarantees(), "a server that paused gets calls again");
+  Disturb("link fault", "i-2", 2900, 3500);
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  mHistory.disturbances.clear();
+  mHistory.notices.push_back({ At(2500), "i-2", At(5500) });
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  mHistory.notices.clear();
+  mHistory.runs.back().server = "i-2";
+  EXPECT_EQ(ViolatedGuarantees(), "");
+}
+
+TEST_F(Soak, ServiceThatDoesNotReturnAfterAPauseIsFound)
+{
+  mHistory.pauses.push_back({ At(2000), At(3000), "i-1" });
+  for (int i = 0; i < 20; ++i) {
+    auto& call = Serve(Kind::kStock, 4100 + i * 50);
+    call.httpStatus = 503;
+    call.signature.clear();
+    RemoveRun(mHistory.calls.size() - 1);
+  }
+  EXPECT_EQ(ViolatedGuarantees(), "calls are served after a pause");
+  mHistory.pauses[0].until = At(7000);
+  EXPECT_EQ(ViolatedGuarantees(), "");
+}
+
+TEST_F(Soak, AServiceThatNoConfigurationAllowsIsFound)
+{
+  Publish(0, 1);
+  mHistory.runs[50].server = "i-2";
+  EXPECT_EQ(ViolatedGuarantees(), "a call runs at a service of its route");
+  // A configuration applies 2.3 s after it was published, at the latest.
+  Publish(7000, 2).routes[Kind::kDeposit].services = { "speech" };
+  mHistory.published[0].routes[Kind::kDeposit].services = { "speech" };
+  EXPECT_EQ(ViolatedGuarantees(), "a call runs at a service of its route");
+}
+
+TEST_F(Soak, TermsOfTheConfigurationsInForceApply)
+{
+  const auto call = Serve(Kind::kStock, 7000);
+  Run(call, "i-1", 7020, 7080);
+  Publish(0, 1).routes[Kind::kStock].attempts = 1;
+  EXPECT_EQ(ViolatedGuarantees(),
+            "a call is sent to a limited number of servers");
+  Publish(6000, 2);
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  auto& denied = Serve(Kind::kTrend, 7500);
+  denied.httpStatus = 404;
+  denied.signature.clear();
+  RemoveRun(mHistory.calls.size() - 1);
+  EXPECT_EQ(ViolatedGuarantees(), "a valid call is not denied");
+  mHistory.published[0].routes.erase(Kind::kTrend);
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  mHistory.published[1].at = At(5000);
+  EXPECT_EQ(ViolatedGuarantees(), "a valid call is not denied");
 }
 
 TEST_F(Soak, WhatNobodyAskedIsFound)
@@ -222,7 +423,8 @@
 
 TEST_F(Soak, AConfigurationThatIsLateIsFound)
 {
-  mHistory.published = { { At(0), 1 }, { At(4000), 2 } };
+  Publish(0, 1);
+  Publish(4000, 2);
   auto& early = Serve(Kind::kProbe, 5000, 2);
   early.httpStatus = 404;
   early.signature.clear();
@@ -239,7 +441,8 @@
 
 TEST_F(Soak, ADroppedRouteThatStaysIsFound)
 {
-  mHistory.published = { { At(0), 1 }, { At(4000), 2 } };
+  Publish(0, 1);
+  Publish(4000, 2);
   Serve(Kind::kProbe, 5000, 1);
   EXPECT_EQ(ViolatedGuarantees(), "");
   Serve(Kind::kProbe, 6500, 1);
@@ -248,7 +451,8 @@
 
 TEST_F(Soak, AConfigurationThatRevertsIsFound)
 {
-  mHistory.published = { { At(0), 1 }, { At(4000), 2 } };
+  Publish(0, 1);
+  Publish(4000, 2);
   Serve(Kind::kProbe, 4200, 2);
   Serve(Kind::kProbe, 4700, 1);
   EXPECT_EQ(ViolatedGuarantees(), "a configuration does not revert");
@@ -286,6 +490,9 @@
     if (call.sentAt > mHistory.faultsEndedAt) {
       call.httpStatus = 504;
       call.signature.clear();
+      std::erase_if(mHistory.runs, [&](const auto& aRun) {
+        return aRun.run.requestId == call.id;
+      });
     }
   }
   EXPECT_EQ(ViolatedGuarantees(), "most calls are served after the faults end");
--- a/soak/director.cpp
+++ b/soak/director.cpp
@@ -1,6 +1,7 @@
 // Fault injection and planned changes.
 #include "director.h"
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <thread>
@@ -20,44 +21,12 @@
 
 constexpr Duration kPollInterval = Milliseconds(10);
 
-std::vector<tests::RouteConfig>
-RoutesOf(std::uint64_t aVersion)
-{
-  std::vector<tests::RouteConfig> routes;
-  for (const auto kind : { Kind::kQuote,
-                           Kind::kLetter,
-                           Kind::kDeposit,
-                           Kind::kStock,
-                           Kind::kProbe }) {
-    const auto& traits = TraitsOf(kind);
-    tests::RouteConfig route;
-    route.prefix = traits.prefix;
-    if (kind == Kind::kProbe) {
-      route.prefix += std::to_string(aVersion) + "/";
-    }
-    route.name = "route-" + std::to_string(static_cast<int>(kind));
-    route.kind = traits.stream ? "stream"
-                 : traits.once ? "non_idempotent"
-                               : "idempotent";
-    route.service = traits.stream ? "language" : "orders";
-    route.resumable = traits.stream && !traits.once;
-    route.attempts = traits.once ? 1 : kMaxServers;
-    route.tier = traits.stream ? 1 : 0;
-    routes.push_back(route);
-  }
-  return routes;
-}
+/// Time after its start in which a process may not handle signals yet.
+constexpr Duration kStartTime = Seconds(1);
 
-std::vector<tests::TeamConfig>
-TeamsOf(const Quota& aQuota)
-{
-  tests::TeamConfig limited;
-  limited.name = aQuota.team;
-  limited.keys = { "key-of-" + aQuota.team };
-  limited.perSecond = aQuota.perSecond;
-  limited.burst = aQuota.burst;
-  return { tests::TeamConfig(), limited };
-}
+/// How long a sound server may send nothing.
+constexpr int kMinPauseMillis = 800;
+constexpr int kMaxPauseMillis = 2000;
 
 } // namespace
 
@@ -71,17 +40,21 @@
   , mCallers(aCallers)
   , mQuota(std::move(aQuota))
   , mRandom(aSeed)
+  , mSeriesRandom(~aSeed)
 {
   for (const auto& server : aFleet.Engines()) {
     mServerNames.push_back(server->Options().id);
   }
-  mCallers.SetVersion(mVersions);
+  const auto first = StandardConfiguration(mVersions, mQuota);
+  mPublished.push_back({ Clock::now(), mVersions, TermsOf(first) });
+  mCallers.SetVersion(mVersions, first.limits.idleTimeout);
 }
 
 std::uint64_t
 Director::PublishFirst(tests::PlatformFleet& aFleet, const Quota& aQuota)
 {
-  aFleet.Publish(RoutesOf(1), TeamsOf(aQuota));
+  const auto first = StandardConfiguration(1, aQuota);
+  aFleet.Publish(first.routes, first.teams, first.limits);
   return 1;
 }
 
@@ -112,18 +85,25 @@
 }
 
 void
-Director::Run(int aFaults, Duration aTime)
+Director::Run(int aFaults, int aSeries, Duration aTime)
 {
   const TimePoint start = Clock::now();
+  const auto millis =
+    static_cast<int>(std::chrono::duration_cast<Milliseconds>(aTime).count());
   for (int i = 0; i < aFaults; ++i) {
-    const auto millis = std::chrono::duration_cast<Milliseconds>(aTime).count();
-    Schedule(start + RandomTime(0, static_cast<int>(millis)),
-             [this] { InjectRandomFault(); });
+    Schedule(start + RandomTime(0, millis), [this] { InjectRandomFault(); });
+  }
+  for (int i = 0; i < aSeries; ++i) {
+    Schedule(start + RandomTime(mSeriesRandom, 0, millis),
+             [this] { StartRandomSeries(); });
   }
   RunUntil(start + aTime);
   while (!mSchedule.empty()) {
     RunUntil(mSchedule.begin()->first + kPollInterval);
   }
+  if (aSeries > 0) {
+    PublishChange();
+  }
 }
 
 void
@@ -132,7 +112,10 @@
   aHistory.disturbances = mDisturbances;
   aHistory.published = mPublished;
   aHistory.notices = mNotices;
+  aHistory.pauses = mPauses;
+  aHistory.serverEnds = mServerEnds;
   for (std::size_t i = 0; i < mServerNames.size(); ++i) {
+    aHistory.services[mServerNames[i]] = mFleet.Engines()[i]->Options().service;
     for (const auto& run : mFleet.Engines()[i]->Runs()) {
       aHistory.runs.push_back({ mServerNames[i], run });
     }
@@ -159,7 +142,7 @@
   // Entries that occur twice are twice as likely.
   constexpr Fault kFaults[] = {
     &Director::KillVm,
-    &Director::StopVm,
+    &Director::StopRandomVm,
     &Director::PauseVm,
     &Director::ReloadVm,
     &Director::KillAll,
@@ -176,7 +159,7 @@
     &Director::DisconnectServer,
     &Director::PublishChange,
     &Director::PublishChange,
-    &Director::StopVm,
+    &Director::StopRandomVm,
   };
   (this->*kFaults[RandomBelow(std::size(kFaults))])();
 }
@@ -190,9 +173,15 @@
 
 Duration
 Director::RandomTime(int aMinMillis, int aMaxMillis)
+{
+  return RandomTime(mRandom, aMinMillis, aMaxMillis);
+}
+
+Duration
+Director::RandomTime(std::mt19937_64& aRandom, int aMinMillis, int aMaxMillis)
 {
   return Milliseconds(
-    std::uniform_int_distribution<int>(aMinMillis, aMaxMillis)(mRandom));
+    std::uniform_int_distribution<int>(aMinMillis, aMaxMillis)(aRandom));
 }
 
 load::LinkMode
@@ -233,7 +222,7 @@
   mVmBusy[vm] = Clock::now() + down;
   process.Signal(SIGKILL);
   process.Wait(Seconds(2));
-  Schedule(mVmBusy[vm], [this, vm] { mFleet.StartVm(vm); });
+  Schedule(mVmBusy[vm], [this, vm] { StartVm(vm); });
 }
 
 /// Kills all VMs at once, unless one is being disturbed already.
@@ -253,37 +242,52 @@
   }
   for (std::size_t vm = 0; vm < mFleet.Vms().size(); ++vm) {
     mFleet.Vms()[vm].process.Wait(Seconds(2));
-    Schedule(mVmBusy[vm], [this, vm] { mFleet.StartVm(vm); });
+    Schedule(mVmBusy[vm], [this, vm] { StartVm(vm); });
   }
 }
 
-/// Stops a VM with SIGTERM and restarts it once it has ended.
 void
-Director::StopVm()
+Director::StopRandomVm()
 {
   const auto vm = RandomIdleVm();
-  if (vm == kNone) {
-    return;
+  if (vm != kNone) {
+    StopVm(vm);
   }
-  RecordDisturbance("stop", mFleet.Vms()[vm].name, kStopTimeout, true);
-  mVmBusy[vm] = Clock::now() + kStopTimeout;
-  mFleet.Vms()[vm].process.Signal(SIGTERM);
-  RestartWhenStopped(vm, Clock::now() + kStopTimeout);
 }
 
+/// Stops a VM with SIGTERM and restarts it once it has ended.
 void
-Director::RestartWhenStopped(std::size_t aVm, TimePoint aDeadline)
+Director::StopVm(std::size_t aVm)
+{
+  RecordDisturbance("stop", mFleet.Vms()[aVm].name, kStopTimeout, true);
+  mVmBusy[aVm] = Clock::now() + kStopTimeout;
+  mFleet.Vms()[aVm].process.Signal(SIGTERM);
+  RestartWhenStopped(aVm, mDisturbances.size() - 1);
+}
+
+void
+Director::RestartWhenStopped(std::size_t aVm, std::size_t aDisturbance)
 {
   auto& process = mFleet.Vms()[aVm].process;
-  if (process.Running() && Clock::now() < aDeadline) {
-    Schedule(Clock::now() + kPollInterval,
-             [this, aVm, aDeadline] { RestartWhenStopped(aVm, aDeadline); });
+  auto& stop = mDisturbances[aDisturbance];
+  if (process.Running() && Clock::now() < stop.until) {
+    Schedule(Clock::now() + kPollInterval, [this, aVm, aDisturbance] {
+      RestartWhenStopped(aVm, aDisturbance);
+    });
     return;
   }
   process.Signal(SIGKILL);
   process.Wait(Seconds(2));
-  mVmBusy[aVm] = Clock::now();
+  stop.until = Clock::now();
+  mVmBusy[aVm] = stop.until;
+  StartVm(aVm);
+}
+
+void
+Director::StartVm(std::size_t aVm)
+{
   mFleet.StartVm(aVm);
+  mVmStarted[aVm] = Clock::now();
 }
 
 void
@@ -312,6 +316,13 @@
   }
 }
 
+void
+Director::CrashNow(std::size_t aServer)
+{
+  mServerEnds.push_back({ Clock::now(), mServerNames[aServer] });
+  mFleet.Engines()[aServer]->Crash();
+}
+
 /// Starts a new incarnation of a server under a new id.
 void
 Director::RestartServer(std::size_t aServer)
@@ -333,7 +344,7 @@
   const Duration down = RandomTime(300, 2000);
   RecordDisturbance("crash", mServerNames[server], down);
   mServerBusy[server] = Clock::now() + down;
-  mFleet.Engines()[server]->Crash();
+  CrashNow(server);
   Schedule(mServerBusy[server], [this, server] { RestartServer(server); });
 }
 
@@ -350,7 +361,7 @@
   mNotices.push_back({ Clock::now(), mServerNames[server], replacedAt });
   mServerBusy[server] = replacedAt;
   Schedule(replacedAt, [this, server] {
-    mFleet.Engines()[server]->Crash();
+    CrashNow(server);
     RestartServer(server);
   });
 }
@@ -450,14 +461,123 @@
   });
 }
 
-/// Publishes a configuration with a probe route of its own.
+/// Publishes the standard configuration, with a probe route of its own.
 void
 Director::PublishChange()
 {
-  mVersions += 1;
-  mFleet.Publish(RoutesOf(mVersions), TeamsOf(mQuota));
-  mPublished.push_back({ Clock::now(), mVersions });
-  mCallers.SetVersion(mVersions);
+  Publish(StandardConfiguration(++mVersions, mQuota));
+}
+
+/// Publishes the configuration of the version mVersions.
+void
+Director::Publish(const Configuration& aConfiguration)
+{
+  mFleet.Publish(
+    aConfiguration.routes, aConfiguration.teams, aConfiguration.limits);
+  mPublished.push_back({ Clock::now(), mVersions, TermsOf(aConfiguration) });
+  mCallers.SetVersion(mVersions, aConfiguration.limits.idleTimeout);
+}
+
+void
+Director::StartRandomSeries()
+{
+  using Series = void (Director::*)();
+  constexpr Series kSeries[] = {
+    &Director::PauseServers,        &Director::PauseServers,
+    &Director::ConfigurationSeries, &Director::ReloadSeries,
+    &Director::StopSeries,          &Director::MixedSeries,
+    &Director::MixedSeries,
+  };
+  (this->*kSeries[mSeriesRandom() % std::size(kSeries)])();
+}
+
+/// Pauses one server, those of a zone, those of a service, or all at once. A
+/// pause is not recorded as a disturbance, because callers must not lose
+/// anything by it.
+void
+Director::PauseServers()
+{
+  const auto& chosen =
+    mFleet.Engines()[mSeriesRandom() % mServerNames.size()]->Options();
+  const auto scope = mSeriesRandom() % 4;
+  const Duration time =
+    RandomTime(mSeriesRandom, kMinPauseMillis, kMaxPauseMillis);
+  for (std::size_t i = 0; i < mServerNames.size(); ++i) {
+    const auto& options = mFleet.Engines()[i]->Options();
+    const bool affected = scope == 0   ? &options == &chosen
+                          : scope == 1 ? options.zone == chosen.zone
+                          : scope == 2 ? options.service == chosen.service
+                                       : true;
+    if (affected) {
+      const TimePoint now = Clock::now();
+      mPauses.push_back({ now, now + time, mServerNames[i] });
+      mFleet.Engines()[i]->FallSilent(time);
+    }
+  }
+}
+
+/// Publishes several random configurations, one shortly after the other.
+void
+Director::ConfigurationSeries()
+{
+  TimePoint next = Clock::now();
+  for (auto left = 2 + mSeriesRandom() % 5; left > 0; --left) {
+    Schedule(next, [this] {
+      Publish(RandomConfiguration(++mVersions, mQuota, mSeriesRandom));
+    });
+    next += RandomTime(mSeriesRandom, 30, 900);
+  }
+}
+
+/// Sends several SIGHUPs to random VMs, also to VMs that are stopping.
+void
+Director::ReloadSeries()
+{
+  TimePoint next = Clock::now();
+  for (auto left = 2 + mSeriesRandom() % 5; left > 0; --left) {
+    const auto vm = mSeriesRandom() % mFleet.Vms().size();
+    Schedule(next, [this, vm] {
+      if (Clock::now() > mVmStarted[vm] + kStartTime) {
+        mFleet.Vms()[vm].process.Signal(SIGHUP);
+      }
+    });
+    next += RandomTime(mSeriesRandom, 30, 500);
+  }
+}
+
+/// Stops up to a third of the VMs, one shortly after the other. One that is
+/// disturbed already gets the signal only; if it stops, that is a repetition.
+void
+Director::StopSeries()
+{
+  TimePoint next = Clock::now();
+  const auto third = std::max<std::size_t>(1, mFleet.Vms().size() / 3);
+  for (auto left = 1 + mSeriesRandom() % third; left > 0; --left) {
+    const auto vm = mSeriesRandom() % mFleet.Vms().size();
+    Schedule(next, [this, vm] {
+      if (mVmBusy[vm] <= Clock::now()) {
+        StopVm(vm);
+      } else {
+        mFleet.Vms()[vm].process.Signal(SIGTERM);
+      }
+    });
+    next += RandomTime(mSeriesRandom, 100, 1500);
+  }
+}
+
+/// Overlaps pauses of servers, configurations, SIGHUPs and SIGTERMs.
+void
+Director::MixedSeries()
+{
+  const auto delay = [this] { return RandomTime(mSeriesRandom, 0, 1200); };
+  const TimePoint now = Clock::now();
+  Schedule(now + delay(), [this] { PauseServers(); });
+  Schedule(now + delay(), [this] { PauseServers(); });
+  Schedule(now + delay(), [this] { ConfigurationSeries(); });
+  Schedule(now + delay(), [this] { ReloadSeries(); });
+  if (mSeriesRandom() % 2 == 0) {
+    Schedule(now + delay(), [this] { StopSeries(); });
+  }
 }
 
 } // namespace magnoliatide::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -12,14 +12,18 @@
 DEFINE_int32(rounds, 1, "number of rounds, each with the next seed");
 DEFINE_int32(seconds, 18, "seconds of fault injection per round");
 DEFINE_int32(faults, 16, "faults and planned changes per round");
+DEFINE_int32(series,
+             8,
+             "series of pauses, configurations, reloads and stops per round");
+DEFINE_int32(vms, 6, "number of VMs");
+DEFINE_int32(servers, 8, "number of backend servers");
 DEFINE_int32(callers, 24, "concurrent callers");
 DEFINE_bool(history, false, "print the faults and planned changes");
 
 namespace magnoliatide::soak {
 namespace {
 
-constexpr int kEngineCount = 6;
-constexpr int kOrderServerCount = 2;
+constexpr const char* kZones[] = { "kariakoo", "temeke", "mikocheni" };
 
 /// Time for which calls go on after the faults, to check the recovery.
 constexpr Duration kRecoveryTime = Seconds(8);
@@ -37,16 +41,32 @@
   return quota;
 }
 
+std::vector<std::string>
+ZonesOfVms()
+{
+  std::vector<std::string> zones;
+  for (int i = 0; i < FLAGS_vms; ++i) {
+    zones.emplace_back(kZones[i % 3]);
+  }
+  return zones;
+}
+
+/// Adds the servers. Three quarters of them stream. Each kind has
+/// two services.
 void
 AddServers(tests::PlatformFleet& aFleet)
 {
-  const char* zones[] = { "kariakoo", "temeke", "mikocheni" };
-  for (int i = 0; i < kEngineCount + kOrderServerCount; ++i) {
+  const int streaming = FLAGS_servers * 3 / 4;
+  for (int i = 0; i < FLAGS_servers; ++i) {
     standins::BatchEngineOptions options;
-    options.stream = i < kEngineCount;
-    options.service = options.stream ? "language" : "orders";
+    options.stream = i < streaming;
+    const int second = options.stream
+                         ? streaming * 2 / 3
+                         : streaming + (FLAGS_servers - streaming) / 2;
+    const auto& services = options.stream ? kStreamServices : kOtherServices;
+    options.service = services[i < second ? 0 : 1];
     options.id = (options.stream ? "i-" : "o-") + std::to_string(i + 1);
-    options.zone = zones[i % 3];
+    options.zone = kZones[i % 3];
     options.events = kEvents;
     options.eventInterval = Milliseconds(12);
     aFleet.AddEngine(options);
@@ -65,6 +85,11 @@
     std::cout << "  " << ToSeconds(notice.at - aStart) << " s notice of "
               << notice.server << "\n";
   }
+  for (const auto& pause : aHistory.pauses) {
+    std::cout << "  " << ToSeconds(pause.from - aStart) << " to "
+              << ToSeconds(pause.until - aStart) << " s pause of "
+              << pause.server << "\n";
+  }
   for (const auto& published : aHistory.published) {
     std::cout << "  " << ToSeconds(published.at - aStart) << " s configuration "
               << published.version << "\n";
@@ -77,9 +102,7 @@
 {
   load::Network network;
   tests::PlatformFleet fleet(
-    "soak-" + std::to_string(aSeed),
-    { "kariakoo", "temeke", "mikocheni", "kariakoo", "temeke", "mikocheni" },
-    &network);
+    "soak-" + std::to_string(aSeed), ZonesOfVms(), &network);
   AddServers(fleet);
   const auto quota = MakeQuota();
   Director::PublishFirst(fleet, quota);
@@ -94,7 +117,7 @@
   options.quota = quota;
   Callers callers(fleet, options);
   Director director(fleet, network, callers, quota, aSeed);
-  director.Run(FLAGS_faults, Seconds(FLAGS_seconds));
+  director.Run(FLAGS_faults, FLAGS_series, Seconds(FLAGS_seconds));
   History history;
   history.faultsEndedAt = Clock::now();
   std::this_thread::sleep_for(kRecoveryTime);
@@ -104,7 +127,9 @@
   const auto findings = Check(history);
   std::cout << "seed " << aSeed << ": " << history.calls.size() << " calls, "
             << history.runs.size() << " runs, " << history.disturbances.size()
-            << " faults, " << findings.size() << " findings" << std::endl;
+            << " faults and stops, " << history.pauses.size() << " pauses, "
+            << history.published.size() << " configurations, "
+            << findings.size() << " findings" << std::endl;
   if (FLAGS_history || !findings.empty()) {
     PrintHistory(history, start);
   }
@@ -123,7 +148,8 @@
 main(int aCount, char** aArguments)
 {
   gflags::SetUsageMessage(
-    "magnoliatide-soak [--seed N] [--rounds N] [--seconds N] [--faults N]");
+    "magnoliatide-soak [--seed N] [--rounds N] [--seconds N] [--faults N] "
+    "[--series N] [--vms N] [--servers N] [--callers N]");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   int failed = 0;
   for (int i = 0; i < FLAGS_rounds; ++i) {
--- a/soak/record.h
+++ b/soak/record.h
@@ -1,5 +1,5 @@
 // The history of a soak run: the calls of callers, the runs at servers, and
-// the faults and planned changes with their times.
+// the faults, pauses and planned changes with their times.
 #ifndef MAGNOLIATIDE_SOAK_RECORD_H
 #define MAGNOLIATIDE_SOAK_RECORD_H
 
@@ -29,6 +29,7 @@
   kLetter,  ///< A stream that is not resumable.
   kDeposit, ///< A call that may run at most once.
   kStock,   ///< An idempotent call.
+  kTrend,   ///< A resumable stream; some configurations lack its route.
   kProbe,   ///< A call to a route of one configuration version only.
 };
 
@@ -36,9 +37,12 @@
 const RouteTraits&
 TraitsOf(Kind aKind);
 
-/// Maximum number of servers to which one call may be sent.
+/// Attempts of a route that may be repeated, unless a configuration differs.
 constexpr int kMaxServers = 2;
 
+/// Timeout of a route, unless a configuration differs.
+constexpr Duration kRouteTimeout = Seconds(5);
+
 /// Number of events of a complete stream.
 constexpr int kEvents = 40;
 
@@ -84,11 +88,35 @@
   bool planned = false;
 };
 
+/// What a configuration states about the route of a kind of call.
+struct RouteTerms
+{
+  std::vector<std::string> services;
+  Duration timeout = kRouteTimeout;
+  int attempts = kMaxServers;
+};
+
 /// A configuration version that was written to the store.
 struct Published
 {
   TimePoint at; ///< Time after the store had accepted it.
   std::uint64_t version = 0;
+  std::map<Kind, RouteTerms> routes; ///< Without the routes that it lacks.
+};
+
+/// A time in which a sound server sends nothing. It is not a fault.
+struct ServerPause
+{
+  TimePoint from;
+  TimePoint until;
+  std::string server;
+};
+
+/// The end of a server's incarnation, by a crash or after it had left.
+struct ServerEnd
+{
+  TimePoint at;
+  std::string server;
 };
 
 /// A server's store entry that marks it as leaving.
@@ -117,7 +145,11 @@
   std::vector<Disturbance> disturbances;
   std::vector<Published> published;
   std::vector<Notice> notices;
+  std::vector<ServerPause> pauses;
+  std::vector<ServerEnd> serverEnds;
   std::vector<std::string> vms; ///< Names by index of the VM.
+  /// The service of each server, by the server's first id.
+  std::map<std::string, std::string> services;
   Quota quota;
   TimePoint faultsEndedAt; ///< When the last fault had ended.
 };
--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -219,6 +219,7 @@
         co_return false;
       }
     }
+    const TimePoint arrived = Clock::now();
     co_await AwaitSilenceEnd();
     const auto& message = aParser.get();
     if (health) {
@@ -236,10 +237,12 @@
       co_return co_await Write(
         aSocket, MakeResponse(503, "", "Not-Executed: 1\r\n", false));
     }
-    co_return co_await Run(aSocket, aBuffer, aParser, fault);
+    co_return co_await Run(aSocket, aBuffer, aParser, fault, arrived);
   }
 
-  EngineRun& RecordRun(const Message& aMessage)
+  EngineRun& RecordRun(const Message& aMessage,
+                       EngineFault aFault,
+                       TimePoint aArrived)
   {
     std::lock_guard<std::mutex> lock(mMutex);
     mRuns.emplace_back();
@@ -252,6 +255,8 @@
     run.credential = HeaderValue(aMessage, "Authorization");
     run.lastEventId = HeaderValue(aMessage, "Last-Event-Id");
     run.deadlineMillis = ParseNumber(HeaderValue(aMessage, "Deadline-Ms"));
+    run.fault = aFault;
+    run.arrived = aArrived;
     run.began = Clock::now();
     return run;
   }
@@ -267,10 +272,11 @@
   asio::awaitable<bool> Run(tcp::socket& aSocket,
                             beast::flat_buffer& aBuffer,
                             Parser& aParser,
-                            EngineFault aFault)
+                            EngineFault aFault,
+                            TimePoint aArrived)
   {
     mRunning += 1;
-    auto& run = RecordRun(aParser.get());
+    auto& run = RecordRun(aParser.get(), aFault, aArrived);
     co_await Sleep(mOptions.firstByteDelay);
     const bool complete = co_await Reply(aSocket, run, aFault);
     RecordEnd(run, complete);
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -56,6 +56,8 @@
   std::string credential; ///< Empty if the request had none.
   std::string lastEventId;
   double deadlineMillis = 0;
+  EngineFault fault = EngineFault::kNone; ///< How it was mishandled.
+  TimePoint arrived; ///< When the engine had read the request.
   TimePoint began;
   TimePoint ended{};    ///< Zero while it runs.
   bool dropped = false; ///< The connection was lost before the answer ended.
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -49,6 +49,15 @@
     route["resumable"] = aRoute.resumable;
     route["gap-aim-ms"] = 300;
   }
+  json::array split;
+  for (const auto& [service, weight] : aRoute.split) {
+    split.push_back(
+      json::object{ { "service", service }, { "weight", weight } });
+  }
+  if (!split.empty()) {
+    route.erase("service");
+    route["traffic-split"] = std::move(split);
+  }
   return route;
 }
 
@@ -170,30 +179,41 @@
 
 void
 PlatformFleet::Publish(const std::vector<RouteConfig>& aRoutes,
-                       const std::vector<TeamConfig>& aTeams)
+                       const std::vector<TeamConfig>& aTeams,
+                       const LimitsConfig& aLimits)
 {
   // Versions must increase but need not be consecutive.
   mVersion += 3;
   json::array routes;
   json::array services;
   std::string known; // Names of the services so far, between commas.
-  for (const auto& route : aRoutes) {
-    routes.push_back(RouteJson(route));
-    if (known.find("," + route.service + ",") == std::string::npos) {
-      known += "," + route.service + ",";
-      services.push_back(json::object{ { "name", route.service },
+  const auto addService = [&](const std::string& aService) {
+    if (known.find("," + aService + ",") == std::string::npos) {
+      known += "," + aService + ",";
+      services.push_back(json::object{ { "name", aService },
                                        { "health-path", "/healthz" },
                                        { "max-connections", 100 } });
     }
+  };
+  for (const auto& route : aRoutes) {
+    routes.push_back(RouteJson(route));
+    for (const auto& [service, weight] : route.split) {
+      addService(service);
+    }
+    if (route.split.empty()) {
+      addService(route.service);
+    }
   }
   json::array teams;
   for (const auto& team : aTeams) {
     teams.push_back(TeamJson(team));
   }
-  const json::object limits{ { "max-header-bytes", 8192 },
-                             { "max-body-bytes", 65536 },
-                             { "header-timeout-ms", 2000 },
-                             { "idle-timeout-ms", 5000 } };
+  const json::object limits{
+    { "max-header-bytes", aLimits.headerBytes },
+    { "max-body-bytes", aLimits.bodyBytes },
+    { "header-timeout-ms", aLimits.headerTimeout.count() },
+    { "idle-timeout-ms", aLimits.idleTimeout.count() }
+  };
   mStore.Put("op/config",
              json::serialize(json::object{ { "version", mVersion },
                                            { "routes", std::move(routes) },
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -19,6 +19,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace magnoliatide::tests {
@@ -30,6 +31,8 @@
   std::string prefix = "/quotes/";
   std::string kind = "stream";
   std::string service = "language";
+  /// Services and weights; if not empty, `service` is not used.
+  std::vector<std::pair<std::string, int>> split;
   int attempts = 2; ///< Maximum number of servers a request is sent to.
   bool resumable = true;
   int timeoutMillis = 5000;
@@ -47,6 +50,15 @@
   double burst = 0;     ///< Tokens beyond the rate in one quota window.
 };
 
+/// The limits for callers in the operators' configuration.
+struct LimitsConfig
+{
+  int headerBytes = 8192;
+  int bodyBytes = 65536;
+  Milliseconds headerTimeout{ 2000 };
+  Milliseconds idleTimeout{ 5000 };
+};
+
 /// A VM process and its addresses.
 struct TestVm
 {
@@ -95,7 +107,8 @@
 
   /// Publishes a configuration with a higher version than the last one.
   void Publish(const std::vector<RouteConfig>& aRoutes,
-               const std::vector<TeamConfig>& aTeams);
+               const std::vector<TeamConfig>& aTeams,
+               const LimitsConfig& aLimits = {});
 
   /// Publishes a configuration with one team and the routes /quotes/ (streams),
   /// /deposits/ (not idempotent) and /stock/ (idempotent).
