--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -242,6 +242,7 @@
         co_return false;
       }
     }
+    const TimePoint arrived = Clock::now();
     co_await AwaitSilenceEnd();
     const auto& message = aParser.get();
     if (health) {
@@ -266,7 +267,7 @@
         mRunning >= mOptions.slots + mOptions.queue) {
       co_return co_await Refuse(aSocket, 503, "Not-Executed: 1\r\n", id);
     }
-    co_return co_await Run(aSocket, aBuffer, aParser, fault);
+    co_return co_await Run(aSocket, aBuffer, aParser, fault, arrived);
   }
 
   /// Writes a refusal, and keeps it if it is to be written once more.
@@ -330,7 +331,8 @@
     notRun.requestId = HeaderValue(aMessage, "Attempt-Id");
     const bool runs = part != EndlessPart::kRefusalBody;
     mRunning += 1;
-    auto& run = runs ? RecordRun(aMessage) : notRun;
+    auto& run =
+      runs ? RecordRun(aMessage, EngineFault::kNone, Clock::now()) : notRun;
     const auto answer = EndlessAnswer(part, run);
     std::string filler = answer.filler;
     while (pause == Duration::zero() && filler.size() < kFillerBytes) {
@@ -401,7 +403,9 @@
     return {};
   }
 
-  EngineRun& RecordRun(const Message& aMessage)
+  EngineRun& RecordRun(const Message& aMessage,
+                       EngineFault aFault,
+                       TimePoint aArrived)
   {
     std::lock_guard<std::mutex> lock(mMutex);
     mRuns.emplace_back();
@@ -414,6 +418,8 @@
     run.credential = HeaderValue(aMessage, "Authorization");
     run.lastEventId = HeaderValue(aMessage, "Last-Event-Id");
     run.deadlineMillis = ParseNumber(HeaderValue(aMessage, "Deadline-Ms"));
+    run.fault = aFault;
+    run.arrived = aArrived;
     run.began = Clock::now();
     return run;
   }
@@ -429,10 +435,11 @@
   asio::awaitable<bool> Run(tcp::socket& aSocket,
                             beast::flat_buffer& aBuffer,
                             Parser& aParser,
-                            EngineFault aFault)
+                            EngineFault aFault,
+                            TimePoint aArrived)
   {
     mRunning += 1;
-    auto& run = RecordRun(aParser.get());
+    auto& run = RecordRun(aParser.get(), aFault, aArrived);
     co_await RepeatRefusal(aSocket, RefusalFault::Repeat::kBeforeRun);
     co_await WriteLateAnswer(aSocket);
     co_await Sleep(mOptions.firstByteDelay);
