Count the crashes of engines where they are restarted

Backends.ARequestThatCrashesThemIsRefusedAfterTheSecondTime failed once, beside eight busy processes, with "crashes: 1 instead of 2". The log of the run shows that both sends ended as expected: the test asked whether the process had ended right after the call, but a crashing process closes its connections before its end can be observed. An engine that ended a moment later was restarted without being counted.

Crashes are now counted by the function that restarts the engines, which waits until all are healthy, so that none is missed, also not one of the two sends that must not crash anything.

--- a/tests/backends_process_test.cpp
+++ b/tests/backends_process_test.cpp
@@ -75,15 +75,18 @@
   });
 }
 
-/// Restarts the engines that have crashed.
-void
+/// Restarts the engines that have crashed, and returns their number.
+int
 RestartCrashed(load::Fleet& aFleet)
 {
+  int crashed = 0;
   for (std::size_t i = 0; i < 3; ++i) {
     if (!aFleet.Backends()[i].process.Running()) {
       aFleet.StartBackend(i);
+      crashed += 1;
     }
   }
+  return crashed;
 }
 
 // Guards against a request that crashes every engine because its caller sends
@@ -92,13 +95,14 @@
 {
   load::Fleet fleet(SmallFleet("poison"));
   ASSERT_TRUE(fleet.Start());
+  int crashes = 0;
   // Restarts crashed engines and sets the fault at all, as a restart clears it.
   const auto armEngines = [&] {
     ASSERT_TRUE(Await(
       [&] {
         // A crashing process closes its connections before its end can be
         // observed, so the health check decides.
-        RestartCrashed(fleet);
+        crashes += RestartCrashed(fleet);
         for (std::size_t i = 0; i < 3; ++i) {
           const auto health = fleet.Get(fleet.Backends()[i].address, "/health");
           if (health.response.status != 200 ||
@@ -116,7 +120,6 @@
   SendAll(fleet, { Quotes(60, Seconds(1)) }, 30);
   auto crashing = Quotes(1, Seconds(1));
   crashing.promptText = "BOOM ";
-  int crashes = 0;
   for (std::size_t send = 0; send < 4; ++send) {
     const auto record = SendOne(fleet, crashing, send % 3, "", 99);
     // The first two sends crash one engine each.
@@ -126,9 +129,6 @@
       EXPECT_EQ(record.outcome, SendOutcome::kNotRun);
       EXPECT_EQ(record.reason, "harmful-request");
     }
-    for (std::size_t i = 0; i < 3; ++i) {
-      crashes += fleet.Backends()[i].process.Running() ? 0 : 1;
-    }
     armEngines();
     SendAll(fleet, { Quotes(60, Seconds(1)) }, 40 + send);
     // Waits until the suspicion has reached the other VMs.
