--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -94,7 +94,7 @@
 protected:
   ~HttpServer() override { mThreads.Stop(); }
 
-  void Start(Handler aHandler, ServerOptions aOptions = {})
+  void Start(const Handler& aHandler, ServerOptions aOptions = {})
   {
     aOptions.onConnectionEnd = [this](const ConnectionEnd& aEnd) {
       std::lock_guard<std::mutex> lock(mMutex);
