--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -116,7 +116,7 @@
   /// Calls a VM and waits for the result.
   http::CallResult Call(std::size_t aVm, const CallSpec& aCall);
 
-  /// Calls a VM and disconnects after the given time, if the call has not ended.
+  /// Calls a VM and disconnects after the given time unless the call has ended.
   void CallAndLeave(std::size_t aVm, const CallSpec& aCall, Duration aAfter);
 
   /// A running call; Result() waits for its end.
