Add a known failure: a stream moves to a silent server that rejects it

Callers see a 502 or a cut stream although their server was sound and would have continued. The new test of Silence shows it without the soak: the stream is cut when the other server's pause ends.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -5,6 +5,7 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <iostream>
 #include <thread>
 
@@ -125,11 +126,16 @@
   history.quota = quota;
   director.AddTo(history);
   const auto findings = Check(history);
+  const auto cut = std::count_if(
+    history.calls.begin(), history.calls.end(), [](const auto& aCall) {
+      return aCall.status == http::CallStatus::kCut &&
+             !aCall.callerDisconnected;
+    });
   std::cout << "seed " << aSeed << ": " << history.calls.size() << " calls, "
             << history.runs.size() << " runs, " << history.disturbances.size()
             << " faults and stops, " << history.pauses.size() << " pauses, "
-            << history.published.size() << " configurations, "
-            << findings.size() << " findings" << std::endl;
+            << history.published.size() << " configurations, " << cut
+            << " calls cut, " << findings.size() << " findings" << std::endl;
   if (FLAGS_history || !findings.empty()) {
     PrintHistory(history, start);
   }
--- a/tests/silence_process_test.cpp
+++ b/tests/silence_process_test.cpp
@@ -151,6 +151,19 @@
   ExpectCompleteQuotes();
 }
 
+// Guards against a stream that is taken from its server for one that is silent
+// as well and rejects the request only after its own pause.
+TEST_F(Silence, AStreamContinuesIfTheOtherServerIsSilentAndFull)
+{
+  StartWith(2);
+  StartQuotes(1);
+  const std::size_t busy = At(0).Runs().empty() ? 1 : 0;
+  At(1 - busy).SetFault(EngineFault::kFull);
+  At(1 - busy).FallSilent(kSilence + Milliseconds(300));
+  At(busy).FallSilent(kSilence);
+  ExpectCompleteQuotes();
+}
+
 // Guards against a stream that is aborted because the server that should
 // continue it cannot be reached.
 TEST_F(Silence, AStreamContinuesIfTheOtherServerIsGone)
