--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -114,16 +114,11 @@
 
   void Crash() override
   {
-    Post([this] {
-      ErrorCode ignored;
-      mAcceptor.close(ignored);
-      for (auto* socket : mSockets) {
-        socket->set_option(asio::socket_base::linger(true, 0), ignored);
-        socket->close(ignored);
-      }
-    });
+    Post([this] { ResetAll(); });
   }
 
+  int PartCrashes() const override { return mPartCrashes.load(); }
+
   void Restart(const std::string& aId) override
   {
     Post([this, aId] {
@@ -174,6 +169,24 @@
       .wait();
   }
 
+  void ResetAll()
+  {
+    ErrorCode ignored;
+    mAcceptor.close(ignored);
+    for (auto* socket : mSockets) {
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+
+  /// Returns whether a run has the part that crashes the engine.
+  bool IsDeadly(const EngineRun& aRun) const
+  {
+    const auto& part = mOptions.deadlyPart;
+    return !part.empty() &&
+           ("," + aRun.promptParts).find("," + part + ":") != std::string::npos;
+  }
+
   void Listen()
   {
     const auto host = asio::ip::make_address(mOptions.address.host);
@@ -417,6 +430,7 @@
     run.team = HeaderValue(aMessage, "Tenant");
     run.credential = HeaderValue(aMessage, "Authorization");
     run.lastEventId = HeaderValue(aMessage, "Last-Event-Id");
+    run.promptParts = HeaderValue(aMessage, "Prompt-Prefix");
     run.deadlineMillis = ParseNumber(HeaderValue(aMessage, "Deadline-Ms"));
     run.fault = aFault;
     run.arrived = aArrived;
@@ -535,6 +549,11 @@
                      "Transfer-Encoding: chunked\r\n" +
                        aHeaders + "\r\n");
     co_await Sleep(mOptions.firstEventDelay);
+    if (open && IsDeadly(aRun)) {
+      mPartCrashes += 1;
+      ResetAll();
+      co_return false;
+    }
     co_await RepeatRefusal(aSocket, RefusalFault::Repeat::kInBody);
     const int after = static_cast<int>(ParseNumber(aRun.lastEventId));
     for (int i = after + 1; open && i <= mOptions.events; ++i) {
@@ -615,6 +634,7 @@
   mutable std::int64_t mSequence = 0;
   std::atomic<int> mArrivals{ 0 };
   std::atomic<int> mRepeated{ 0 };
+  std::atomic<int> mPartCrashes{ 0 };
   // The members below are used on the event loop only.
   int mRunning = 0;
   RefusalFault mRefusalFault;
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -30,6 +30,9 @@
   Duration firstByteDelay = Milliseconds(20);
   Duration firstEventDelay{}; ///< Between the head and the first event.
   Duration eventInterval = Milliseconds(5);
+  /// Id of a prompt part that crashes the engine before the first event of a
+  /// run with it; empty for none.
+  std::string deadlyPart;
 };
 
 /// How the engine mishandles requests.
@@ -103,6 +106,7 @@
   std::string team;
   std::string credential; ///< Empty if the request had none.
   std::string lastEventId;
+  std::string promptParts; ///< As the caller listed them.
   double deadlineMillis = 0;
   EngineFault fault = EngineFault::kNone; ///< How it was mishandled.
   TimePoint arrived; ///< When the engine had read the request.
@@ -143,6 +147,9 @@
   /// Resets all connections and stops listening.
   virtual void Crash() = 0;
 
+  /// Returns how often the engine has crashed because of its deadly part.
+  virtual int PartCrashes() const = 0;
+
   /// Listens again as a new incarnation with the given id.
   virtual void Restart(const std::string& aId) = 0;
 
