--- a/include/magnoliatide/backend/pool.h
+++ b/include/magnoliatide/backend/pool.h
@@ -69,6 +69,11 @@
   /// Sends GET /health to a backend server on a separate connection.
   boost::asio::awaitable<Health> Check(document::Endpoint aServer);
 
+  /// Returns whether a backend server refuses a new connection. A server that
+  /// does not answer within the timeout does not count as refusing.
+  boost::asio::awaitable<bool> Refuses(document::Endpoint aServer,
+                                       Duration aTimeout);
+
   /// Sends a request to a backend server on a separate connection. Returns
   /// whether it is answered.
   boost::asio::awaitable<bool> Answers(document::Endpoint aServer,
--- a/include/magnoliatide/fleet/dispatch_coordinator.h
+++ b/include/magnoliatide/fleet/dispatch_coordinator.h
@@ -86,11 +86,17 @@
              const policy::SendReport& aReport,
              TimePoint aNow);
 
-  /// Merges the number of crashes that another VM attributes to a request.
-  void MergeSuspect(const policy::CrashCount& aCount, TimePoint aNow);
+  /// Records what the end of a run of this VM tells about crashes of its
+  /// server, whichever coordinator decided on it.
+  void RecordOwnRun(const policy::JobKey& aKey,
+                    const policy::Job& aJob,
+                    const std::string& aServer,
+                    const policy::SendReport& aReport,
+                    TimePoint aNow);
 
-  /// Returns and clears the crash counts to send to other VMs.
-  std::vector<policy::CrashCount> TakeSuspects();
+  /// What is known of requests that crash servers, to be exchanged with other
+  /// VMs.
+  policy::CrashSuspects& Suspects() { return mAllocator.Suspects(); }
 
   /// Returns and clears the replies to deliver.
   std::vector<AddressedReply> TakeReplies();
--- a/include/magnoliatide/policy/allocator.h
+++ b/include/magnoliatide/policy/allocator.h
@@ -121,6 +121,14 @@
              const SendReport& aReport,
              TimePoint aNow);
 
+  /// Records what the end of a run of this VM tells about crashes of its
+  /// server, whichever allocator sent it.
+  void RecordOwnRun(const JobKey& aKey,
+                    const Job& aJob,
+                    const std::string& aServer,
+                    const SendReport& aReport,
+                    TimePoint aNow);
+
   /// Returns whether a request that a server answered with a failure should be
   /// retried at another server, based on how earlier retries ended.
   bool ShouldRetry(const Job& aJob);
@@ -165,6 +173,9 @@
     /// Would be late at the free servers, but in time at a slot that is about
     /// to be released.
     kWaitForSlot,
+    /// It is suspected of crashing servers, and a request with the same suspect
+    /// trait is running that has not begun its answer.
+    kWaitForTrial,
   };
 
   Service& FindOrAddService(const std::string& aName);
@@ -185,8 +196,17 @@
               std::string aWhy,
               Allocations& aOut);
   Duration AddJitter(Duration aTime);
-  void RecordCrashEvidence(const RunningJob& aRunning,
-                           SendResult aResult,
+  bool RejectHarmful(const WaitingJob& aWaiting,
+                     const std::vector<Trait>& aTraits,
+                     TimePoint aNow,
+                     Allocations& aOut);
+  bool IsTrialRunning(const Service& aService,
+                      const std::vector<Trait>& aTraits,
+                      TimePoint aNow) const;
+  void ClearBegunTrials(TimePoint aNow);
+  void RecordCrashEvidence(InterruptedRun aRun,
+                           const Job& aJob,
+                           const SendReport& aReport,
                            TimePoint aNow);
   void UpdateEstimates(Service& aService,
                        const RunningJob& aRunning,
@@ -198,6 +218,9 @@
   double mShare = 1; ///< Usable fraction of each server's slots, 0 to 1.
   std::map<std::string, Service> mServices;
   CrashSuspects mSuspects;
+  /// Running requests with suspect traits whose answers have begun, and since
+  /// when that is known; zero until the next tick.
+  std::map<JobKey, TimePoint> mBegunTrials;
 };
 
 } // namespace magnoliatide::policy
--- a/include/magnoliatide/policy/crash_suspects.h
+++ b/include/magnoliatide/policy/crash_suspects.h
@@ -1,72 +1,184 @@
-// Counts, for each request content, the server crashes during which it ran. A
-// request that reaches the limit is considered harmful and is not run again; a
-// request that succeeds is cleared. Used by the Allocator; SuspectTable is the
-// counterpart for the Scheduler.
+// Finds out which requests crash the servers that run them. What requests have
+// in common, such as a part of their prompts, is called a trait. The traits of
+// the requests that had not begun their answers when a server crashed are
+// suspected. A trait is cleared when an answer to a request with it begins at a
+// server that stays up, and is harmful after a number of crashes that no other
+// trait explains. Used by the Allocator; SuspectTable is the counterpart for
+// the Scheduler.
 #ifndef MAGNOLIATIDE_POLICY_CRASH_SUSPECTS_H
 #define MAGNOLIATIDE_POLICY_CRASH_SUSPECTS_H
 
 #include "magnoliatide/core/time.h"
+#include "magnoliatide/policy/job.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace magnoliatide::policy {
 
-/// Number of server crashes during which a request was running.
-struct CrashCount
+/// Identifies something that requests have in common: their whole content or a
+/// part of their prompts.
+using Trait = std::uint64_t;
+
+/// Returns the traits of a request: its content and the parts of its prompt
+/// that it may share with others.
+std::vector<Trait>
+TraitsOf(const Job& aJob);
+
+/// Identifies one start of a server.
+struct ServerIncarnation
+{
+  std::string server;
+  std::uint64_t started = 0; ///< As routing::Server::started.
+
+  bool operator<(const ServerIncarnation& aOther) const
+  {
+    return std::tie(server, started) < std::tie(aOther.server, aOther.started);
+  }
+};
+
+/// A run that ended because the connection to its server was lost.
+struct InterruptedRun
+{
+  ServerIncarnation incarnation;
+  JobKey key;
+  /// The request's traits; empty if its answer had begun before.
+  std::vector<Trait> traits;
+  /// Whether this VM ran it. Each VM tells the others about its own runs.
+  bool own = false;
+};
+
+/// A crash of a server, as VMs tell each other about it.
+struct CrashRecord
+{
+  ServerIncarnation incarnation;
+  /// Tells crashes apart while the incarnation in the roster is outdated.
+  std::uint32_t ordinal = 0;
+  /// Traits of the reporting VM's runs.
+  std::vector<Trait> suspects;
+};
+
+/// What is known of a request's traits.
+enum class CrashStanding
 {
-  std::uint64_t fingerprint = 0;
-  int crashes = 0;
+  kNone,
+  kSuspect, ///< A trait is suspected: such requests run one at a time.
+  kHarmful, ///< A trait crashes servers: such requests do not run.
 };
 
-/// Crash counts by request fingerprint.
+/// Decides which traits are suspected and harmful, from the crashes that this
+/// VM and others have seen. A crash counts once, whoever reports it. Not
+/// thread-safe.
 class CrashSuspects
 {
 public:
-  /// Records that the connection to a server was lost during a request. Two
-  /// such losses at nearly the same time count as a crash of the server.
-  void RecordInterruption(const std::string& aServer,
-                          std::uint64_t aFingerprint,
-                          TimePoint aNow);
-
-  /// Records that a server is down or was restarted. Requests interrupted there
-  /// shortly before are counted as running during a crash.
+  /// Number of crashes at which a trait is considered harmful.
+  static constexpr int kHarmfulCrashCount = 3;
+
+  /// Records an interrupted run. Two of them at one server at nearly the same
+  /// time count as a crash. Until a crash is known, the traits are suspected. A
+  /// run that was recorded before is ignored.
+  void RecordInterruption(const InterruptedRun& aRun, TimePoint aNow);
+
+  /// Records that a server is down or was restarted. Runs that were
+  /// interrupted there shortly before are attributed to a crash.
   void RecordServerLoss(const std::string& aServer, TimePoint aNow);
 
-  /// Records a successful response, which clears the request's count.
-  void RecordSuccess(std::uint64_t aFingerprint);
+  /// Records that the answer to a request has begun and that its server has
+  /// stayed up, which clears the request's traits.
+  void RecordBegin(const std::vector<Trait>& aTraits, TimePoint aNow);
+
+  /// Merges a crash that another VM reports.
+  ///
+  /// @param aAt When it happened.
+  void Merge(const CrashRecord& aRecord, TimePoint aAt, TimePoint aNow);
+
+  /// Merges that another VM has cleared a trait.
+  ///
+  /// @param aAt When it was cleared.
+  void MergeClearance(Trait aTrait, TimePoint aAt, TimePoint aNow);
+
+  /// Returns what is known of a request with these traits.
+  CrashStanding StandingOf(const std::vector<Trait>& aTraits,
+                           TimePoint aNow) const;
 
-  /// Merges a count from another VM; the higher count wins.
-  void Merge(const CrashCount& aCount, TimePoint aNow);
+  /// Returns whether no trait is suspected.
+  bool Empty() const
+  {
+    return mCrashesByTrait.empty() && mInterruptedAt.empty();
+  }
+
+  /// Returns whether a trait is suspected, whatever the number of crashes.
+  bool IsSuspect(Trait aTrait, TimePoint aNow) const;
+
+  /// Describes why a request with these traits is harmful, for the log.
+  std::string Describe(const std::vector<Trait>& aTraits, TimePoint aNow) const;
 
-  /// Returns whether a request has reached the crash limit.
-  bool IsHarmful(std::uint64_t aFingerprint, TimePoint aNow) const;
+  /// Returns and clears the crashes that gained suspects from this VM's runs
+  /// since the last call.
+  std::vector<CrashRecord> TakeCrashes();
 
-  /// Returns the counts raised locally since the last call.
-  std::vector<CrashCount> TakeChangedCounts();
+  /// Returns and clears the traits that were suspected and cleared by
+  /// RecordBegin() since the last call.
+  std::vector<Trait> TakeClearances();
 
 private:
   struct Interruption
   {
-    std::uint64_t fingerprint = 0;
+    InterruptedRun run;
     TimePoint at;
   };
 
-  struct Suspect
+  struct CrashKey
   {
-    int crashes = 0;
-    TimePoint at; ///< Time of the last crash.
+    ServerIncarnation incarnation;
+    std::uint32_t ordinal = 0; ///< As in CrashRecord.
+
+    bool operator<(const CrashKey& aOther) const
+    {
+      return incarnation < aOther.incarnation ||
+             (!(aOther.incarnation < incarnation) && ordinal < aOther.ordinal);
+    }
   };
 
-  void SetCrashCount(std::uint64_t aFingerprint, int aCrashes, TimePoint aNow);
+  struct Crash
+  {
+    std::set<Trait> suspects;
+    std::set<Trait> own; ///< Suspects of this VM's runs.
+    TimePoint at;
+  };
 
-  /// By server id.
+  std::deque<Interruption> TakeBurst(const std::string& aServer,
+                                     TimePoint aNow);
+  CrashKey KeyForCrash(const ServerIncarnation& aIncarnation, TimePoint aAt);
+  const CrashKey* FindRecentCrash(const ServerIncarnation& aIncarnation,
+                                  TimePoint aNow) const;
+  void AttributeRun(const CrashKey& aKey, const InterruptedRun& aRun);
+  void AddSuspects(const CrashKey& aKey, const std::vector<Trait>& aTraits);
+  bool Clear(Trait aTrait, TimePoint aUpTo);
+  const std::set<CrashKey>* CrashesOf(Trait aTrait, TimePoint aNow) const;
+  bool IsExplained(Trait aTrait, const std::vector<Trait>& aTraits) const;
+  bool IsHarmful(Trait aTrait,
+                 const std::vector<Trait>& aTraits,
+                 TimePoint aNow) const;
+  void Trim(TimePoint aNow);
+
+  /// Interruptions that are not attributed to a crash yet, by server.
   std::map<std::string, std::deque<Interruption>> mInterruptions;
-  std::map<std::uint64_t, Suspect> mSuspects;
-  std::vector<CrashCount> mChangedCounts;
+  /// When runs with a trait were interrupted last, until it is cleared.
+  std::map<Trait, TimePoint> mInterruptedAt;
+  std::map<CrashKey, Crash> mCrashes;
+  /// Exactly the suspects of mCrashes, with the keys of their crashes.
+  std::map<Trait, std::set<CrashKey>> mCrashesByTrait;
+  /// When suspected traits were cleared last.
+  std::map<Trait, TimePoint> mCleared;
+  std::vector<CrashRecord> mNewCrashes;
+  std::vector<Trait> mNewClearances;
 };
 
 } // namespace magnoliatide::policy
--- a/include/magnoliatide/policy/job.h
+++ b/include/magnoliatide/policy/job.h
@@ -5,8 +5,10 @@
 
 #include "magnoliatide/core/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace magnoliatide::policy {
@@ -14,13 +16,26 @@
 /// Identifies a request at the VM that accepted it.
 using JobId = std::uint64_t;
 
-/// A segment of a prompt that several requests may have in common.
-struct PromptSegment
+/// Identifies a request within the fleet.
+struct JobKey
 {
-  std::uint64_t id = 0;
-  double tokens = 0;
+  std::uint64_t vm = 0; ///< The VM that accepted the request.
+  JobId job = 0;        ///< Unique within that VM.
+
+  bool operator==(const JobKey& aOther) const
+  {
+    return vm == aOther.vm && job == aOther.job;
+  }
+
+  bool operator<(const JobKey& aOther) const
+  {
+    return std::tie(vm, job) < std::tie(aOther.vm, aOther.job);
+  }
 };
 
+/// Parts of a prompt beyond this number are not tracked.
+constexpr std::size_t kMaxSharedParts = 32;
+
 /// A classified request.
 struct Job
 {
@@ -31,7 +46,9 @@
   int tier = 0; ///< 0 is the most urgent.
   double promptTokens = 0;
   double outputTokens = 0; ///< Expected number.
-  std::vector<PromptSegment> promptSegments;
+  /// Ids of the prompt's parts that other requests may have, too; at most
+  /// kMaxSharedParts.
+  std::vector<std::uint64_t> sharedParts;
   bool stream = false;
   double eventTokens = 1;        ///< Output tokens per event of a stream.
   std::uint64_t fingerprint = 0; ///< Hash that identifies the content.
@@ -80,6 +97,16 @@
   Duration toFirstEvent{}; ///< From the send; zero if there was no event.
   Duration longestGap{};   ///< Longest time between two events.
   Duration toEnd{};        ///< From the send.
+  /// The server refused a new connection after this one was lost.
+  bool serverDown = false;
+
+  /// How long a server must stay up after the first event to show that the
+  /// event did not crash it.
+  static constexpr Duration kBeginTime = Milliseconds(200);
+
+  /// Returns whether the answer began and the server stayed up for kBeginTime,
+  /// or the answer was complete.
+  bool HasBegun() const;
 };
 
 } // namespace magnoliatide::policy
--- a/include/magnoliatide/policy/server_pool.h
+++ b/include/magnoliatide/policy/server_pool.h
@@ -9,34 +9,17 @@
 #include "magnoliatide/policy/service_speed.h"
 #include "magnoliatide/routing/roster.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 namespace magnoliatide::policy {
 
-/// Identifies a request within the fleet.
-struct JobKey
-{
-  std::uint64_t vm = 0; ///< The VM that accepted the request.
-  JobId job = 0;        ///< Unique within that VM.
-
-  bool operator==(const JobKey& aOther) const
-  {
-    return vm == aOther.vm && job == aOther.job;
-  }
-
-  bool operator<(const JobKey& aOther) const
-  {
-    return std::tie(vm, job) < std::tie(aOther.vm, aOther.job);
-  }
-};
-
 struct PoolServer;
 
 /// A request that was sent to a server and has not completed.
@@ -46,6 +29,8 @@
   Job job;
   std::string zone;             ///< Zone of the VM that sent it.
   PoolServer* server = nullptr; ///< Never null in a pool.
+  /// Start of the server's incarnation that it was sent to.
+  std::uint64_t serverStarted = 0;
   TimePoint sent;
   bool firstEventSeen = false; ///< The first event has arrived.
   double prefillTokens = 0; ///< Its own prompt and pending prompts ahead of it.
@@ -170,6 +155,21 @@
                           const std::string& aZone,
                           TimePoint aNow);
 
+  /// Returns the server that runs the fewest requests, of those with a free
+  /// slot that are eligible. If there is none, as BestFreeServer().
+  Forecast EmptiestFreeServer(const Job& aJob,
+                              const std::string& aZone,
+                              TimePoint aNow);
+
+  /// Returns whether a predicate holds for any running request.
+  template<typename Predicate>
+  bool AnyRunning(Predicate aPredicate) const
+  {
+    return std::any_of(mRunning.begin(), mRunning.end(), [&](const auto& aJob) {
+      return aPredicate(aJob.second);
+    });
+  }
+
   /// Returns whether any server can run a request, now or once it has a free
   /// slot. Unhealthy servers count only for a request that excludes none.
   bool CanServe(const Job& aJob,
--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -56,6 +56,10 @@
 {
   kBackendState, ///< Key "name@address"; value "leaving" or "serving".
   kSuspect,      ///< Key: a request fingerprint; value: a suspect level.
+  /// Key: a crash of a server and the VM that reports it; value: the traits of
+  /// the interrupted requests.
+  kCrash,
+  kCleared, ///< Key: a trait that does not crash servers; no value.
 };
 
 /// A fact that is spread to all VMs by gossip. The higher version wins; between
@@ -281,6 +285,8 @@
   bool stream = false;
   float eventTokens = 1; ///< Output tokens per event.
   std::uint64_t fingerprint = 0;
+  /// Ids of the prompt's parts that other requests may have, too.
+  std::vector<std::uint64_t> sharedParts;
   std::uint32_t ageMillis = 0;       ///< Since the request arrived.
   std::uint32_t targetMillis = 0;    ///< For the answer, or its first event.
   std::uint32_t gapTargetMillis = 0; ///< Target between events.
@@ -335,6 +341,7 @@
   float laterTokens = 0; ///< Output tokens after the first event.
   std::uint32_t firstEventMicros = 0;
   std::uint32_t totalMicros = 0;
+  bool serverDown = false; ///< The server refused a new connection.
 };
 
 /// A request that a VM has sent and that has not ended.
--- a/src/backend/pool.cpp
+++ b/src/backend/pool.cpp
@@ -131,6 +131,17 @@
   co_return health;
 }
 
+asio::awaitable<bool>
+Pool::Refuses(document::Endpoint aServer, Duration aTimeout)
+{
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  const auto connection = Make(executor, aServer);
+  const bool connected = co_await connection->Connect(aTimeout);
+  const bool refused = !connected && !connection->ConnectTimedOut();
+  connection->Close();
+  co_return refused;
+}
+
 asio::awaitable<bool>
 Pool::Answers(document::Endpoint aServer,
               http::Request aRequest,
--- a/src/fleet/dispatch_client.cpp
+++ b/src/fleet/dispatch_client.cpp
@@ -46,6 +46,7 @@
   progress.laterTokens = static_cast<float>(aReport.laterTokens);
   progress.firstEventMicros = ToMicros(aReport.toFirstEvent);
   progress.totalMicros = ToMicros(aReport.toEnd);
+  progress.serverDown = aReport.serverDown;
   return progress;
 }
 
@@ -211,6 +212,9 @@
   }
   const auto& sent = found->second;
   Enqueue(sent.coordinator, EndProgress(sent.number, aReport));
+  // The coordinator may be lost before it can tell the other VMs.
+  mLocal.RecordOwnRun(
+    { mOptions.self, sent.number }, sent.job, sent.server, aReport, aNow);
   if (sent.coordinator != mOptions.self) {
     mLocal.Learn(sent.job, mOptions.zone, sent.server, aReport, aNow);
   }
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -78,6 +78,9 @@
   job.stream = aRequest.stream;
   job.eventTokens = std::max(1.0F, aRequest.eventTokens);
   job.fingerprint = aRequest.fingerprint;
+  job.sharedParts = aRequest.sharedParts;
+  job.sharedParts.resize(
+    std::min(job.sharedParts.size(), policy::kMaxSharedParts));
   job.arrival = aNow - Milliseconds(aRequest.ageMillis);
   job.target = Milliseconds(aRequest.targetMillis);
   job.gapTarget = Milliseconds(aRequest.gapTargetMillis);
@@ -104,6 +107,7 @@
   request.stream = aJob.stream;
   request.eventTokens = static_cast<float>(aJob.eventTokens);
   request.fingerprint = aJob.fingerprint;
+  request.sharedParts = aJob.sharedParts;
   request.ageMillis = ToMillis(aNow - aJob.arrival);
   request.targetMillis = ToMillis(aJob.target);
   request.gapTargetMillis = ToMillis(aJob.gapTarget);
@@ -315,6 +319,7 @@
   report.laterTokens = aProgress.laterTokens;
   report.toFirstEvent = std::chrono::microseconds(aProgress.firstEventMicros);
   report.toEnd = std::chrono::microseconds(aProgress.totalMicros);
+  report.serverDown = aProgress.serverDown;
   if (aProgress.totalMicros == 0) {
     // The request was not sent.
     RefundRetry(key);
@@ -457,16 +462,13 @@
 }
 
 void
-DispatchCoordinator::MergeSuspect(const policy::CrashCount& aCount,
+DispatchCoordinator::RecordOwnRun(const policy::JobKey& aKey,
+                                  const policy::Job& aJob,
+                                  const std::string& aServer,
+                                  const policy::SendReport& aReport,
                                   TimePoint aNow)
 {
-  mAllocator.Suspects().Merge(aCount, aNow);
-}
-
-std::vector<policy::CrashCount>
-DispatchCoordinator::TakeSuspects()
-{
-  return mAllocator.Suspects().TakeChangedCounts();
+  mAllocator.RecordOwnRun(aKey, aJob, aServer, aReport, aNow);
 }
 
 std::vector<AddressedReply>
--- a/src/forward/classify.cpp
+++ b/src/forward/classify.cpp
@@ -35,12 +35,16 @@
   return Hash64(aCall.request.body, caller);
 }
 
-/// Copies the prompt's segments to the job, in prompt order.
+/// Copies the ids of the prompt's parts to the job, except that of the last
+/// one, which belongs to the request itself.
 void
-AddPromptSegments(const Generation& aGeneration, policy::Job& aJob)
+AddSharedParts(const Generation& aGeneration, policy::Job& aJob)
 {
-  for (const auto& segment : aGeneration.segments) {
-    aJob.promptSegments.push_back({ segment.id, segment.tokens });
+  const auto& segments = aGeneration.segments;
+  for (std::size_t i = 0; i + 1 < segments.size(); ++i) {
+    if (aJob.sharedParts.size() < policy::kMaxSharedParts) {
+      aJob.sharedParts.push_back(segments[i].id);
+    }
   }
 }
 
@@ -88,7 +92,7 @@
     job.promptTokens = generation.promptTokens;
     job.outputTokens =
       generation.expectedOutputTokens.value_or(generation.maxOutputTokens);
-    AddPromptSegments(generation, job);
+    AddSharedParts(generation, job);
   }
   job.stream = route.stream;
   const auto* service = aRequest.table->FindService(job.service);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -20,6 +20,10 @@
 namespace {
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+/// A host that is up refuses a connection to a crashed server at once.
+constexpr Duration kDownCheckTimeout = Milliseconds(100);
+
 constexpr char kDeadlinePassed[] =
   "the deadline passed while the request waited";
 
@@ -213,6 +217,10 @@
     std::make_shared<Sender>(params, aRequest, aDecision, aRequest->job.id);
   SendEnd end = co_await RunSender(*sender, &Sender::Run);
   while (true) {
+    if (end.report.result == policy::SendResult::kCut) {
+      end.report.serverDown = co_await params.pool->Refuses(
+        sender->Server().address, kDownCheckTimeout);
+    }
     RecordSendEnd(params, *aRequest, sender->Server().id, end);
     if (end.successor) {
       // The silence was reported when it began.
--- a/src/node/dispatch_service.cpp
+++ b/src/node/dispatch_service.cpp
@@ -107,12 +107,6 @@
                          coordinatesOthers ? visible : own);
 }
 
-void
-DispatchService::MergeSuspect(const policy::CrashCount& aCount)
-{
-  mCoordinator.MergeSuspect(aCount, Clock::now());
-}
-
 void
 DispatchService::RemoveVm(std::uint64_t aProcess)
 {
@@ -271,9 +265,11 @@
       [&](const auto& aBody) { mParams.link->Send(message.address, aBody); },
       message.body);
   }
-  const auto suspects = mCoordinator.TakeSuspects();
-  if (!suspects.empty()) {
-    mParams.onSuspects(suspects);
+  auto& suspects = mCoordinator.Suspects();
+  const auto crashes = suspects.TakeCrashes();
+  const auto cleared = suspects.TakeClearances();
+  if (!crashes.empty() || !cleared.empty()) {
+    mParams.onSuspects(crashes, cleared);
   }
   const bool busy = mClient.Busy() || mCoordinator.Allocator().Waiting() > 0;
   if (busy && !mTimerFast) {
--- a/src/node/dispatch_service.h
+++ b/src/node/dispatch_service.h
@@ -24,8 +24,11 @@
   PeerLink* link = nullptr;
   telemetry::Metrics* metrics = nullptr;
   std::function<routing::RosterPointer()> roster;
-  /// Called with crash counts of requests, to send them to the other VMs.
-  std::function<void(const std::vector<policy::CrashCount>&)> onSuspects;
+  /// Called with crashes that runs of this VM were interrupted by, and with
+  /// traits that were suspected and are cleared, to send them to the other VMs.
+  std::function<void(const std::vector<policy::CrashRecord>&,
+                     const std::vector<policy::Trait>&)>
+    onSuspects;
   fleet::DispatchClientOptions client;
   fleet::DispatchCoordinatorOptions coordinator;
 };
@@ -47,8 +50,8 @@
   void SetMembers(const std::vector<wire::MemberRecord>& aLive,
                   std::size_t aExpected);
 
-  /// Merges a crash count that another VM sent.
-  void MergeSuspect(const policy::CrashCount& aCount);
+  /// What is known of requests that crash servers.
+  policy::CrashSuspects& Suspects() { return mCoordinator.Suspects(); }
 
   /// Drops the requests of a VM that left or died.
   void RemoveVm(std::uint64_t aProcess);
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -10,6 +10,7 @@
 #include "replica_service.h"
 
 #include "magnoliatide/core/digest.h"
+#include "magnoliatide/fleet/crash_rumours.h"
 #include "magnoliatide/fleet/ranking.h"
 #include "magnoliatide/forward/forwarder.h"
 #include "magnoliatide/membership/membership.h"
@@ -184,8 +185,8 @@
     params.link = &mLink;
     params.metrics = &mMetrics;
     params.roster = [this] { return mReplicaService.Roster(); };
-    params.onSuspects = [this](const auto& aCounts) {
-      SpreadSuspects(aCounts);
+    params.onSuspects = [this](const auto& aCrashes, const auto& aCleared) {
+      SpreadSuspects(aCrashes, aCleared);
     };
     params.client.self = mProcessId;
     params.client.zone = mSettings.Zone();
@@ -294,8 +295,7 @@
         mReplicaService.RecordLeaving(
           rumour.key, rumour.version, "reported by a VM");
       } else {
-        mDispatchService.MergeSuspect(
-          { FromHex(rumour.key), static_cast<int>(rumour.version) });
+        MergeSuspects(rumour);
       }
     }
     if (mMembership.TakePauseDetected()) {
@@ -428,23 +428,49 @@
     }
   }
 
-  /// Sends the other VMs the number of crashes that each suspected request may
-  /// have caused.
-  void SpreadSuspects(const std::vector<policy::CrashCount>& aCounts)
+  /// Sends the other VMs what requests of this VM tell about crashes.
+  void SpreadSuspects(const std::vector<policy::CrashRecord>& aCrashes,
+                      const std::vector<policy::Trait>& aCleared)
   {
-    for (const auto& count : aCounts) {
-      telemetry::LogWarning("crash-suspect",
-                            { { "content", ToHex(count.fingerprint) },
-                              { "crashes", count.crashes } });
-      mMembership.Spread({ wire::RumourKind::kSuspect,
-                           ToHex(count.fingerprint),
-                           static_cast<std::uint64_t>(count.crashes),
-                           "crash" },
-                         Clock::now());
+    for (const auto& crash : aCrashes) {
+      const auto rumour = fleet::EncodeCrash(crash, mProcessId);
+      telemetry::LogWarning(
+        "crash-suspect",
+        { { "server", crash.incarnation.server }, { "traits", rumour.value } });
+      SpreadNextVersion(rumour);
+    }
+    for (const auto trait : aCleared) {
+      const auto rumour = fleet::EncodeClearance(trait);
+      telemetry::LogInfo("crash-cleared", { { "trait", rumour.key } });
+      SpreadNextVersion(rumour);
     }
     SendAll(mMembership.PushGossip(Clock::now()));
   }
 
+  /// Spreads a rumour so that it replaces the one with the same key.
+  void SpreadNextVersion(wire::Rumour aRumour)
+  {
+    const auto* last = mMembership.FindRumour(aRumour.kind, aRumour.key);
+    aRumour.version = last != nullptr ? last->version + 1 : 1;
+    mMembership.Spread(aRumour, Clock::now());
+  }
+
+  /// Merges what other VMs tell about crashes.
+  void MergeSuspects(const wire::Rumour& aRumour)
+  {
+    const auto now = Clock::now();
+    const TimePoint at = now - Seconds(aRumour.ageSeconds);
+    auto& suspects = mDispatchService.Suspects();
+    if (aRumour.kind == wire::RumourKind::kCleared) {
+      suspects.MergeClearance(fleet::DecodeClearance(aRumour), at, now);
+      return;
+    }
+    const auto crash = fleet::DecodeCrash(aRumour);
+    if (aRumour.kind == wire::RumourKind::kCrash && crash) {
+      suspects.Merge(*crash, at, now);
+    }
+  }
+
   asio::awaitable<void> RunHousekeeping()
   {
     asio::steady_timer timer(mLoop);
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -3,6 +3,7 @@
 #include "magnoliatide/policy/allocator.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace magnoliatide::policy {
 
@@ -25,6 +26,10 @@
 /// Upcoming slot releases examined for each queued request.
 constexpr std::size_t kMaxReleasesScanned = 12;
 
+/// A suspected request that has not begun after this time no longer holds up
+/// others with the same trait.
+constexpr Duration kMaxTrialTime = Seconds(2);
+
 constexpr Duration kMinRetryAfter = Milliseconds(100);
 constexpr Duration kMaxRetryAfter = Seconds(5);
 constexpr Duration kNoServerRetryAfter = Milliseconds(500);
@@ -112,12 +117,7 @@
   Allocations out;
   auto& service = FindOrAddService(aJob.service);
   auto waiting = service.backlog.Prepare(aKey, aJob, aZone, aNow);
-  if (mSuspects.IsHarmful(aJob.fingerprint, aNow)) {
-    Reject(waiting,
-           RejectReason::kHarmful,
-           kMaxRetryAfter,
-           "the request ran during three server crashes",
-           out);
+  if (RejectHarmful(waiting, TraitsOf(aJob), aNow, out)) {
     return out;
   }
   DispatchPass pass{ service, std::nullopt, aNow, out };
@@ -161,6 +161,9 @@
   auto* service = FindServiceRunning(aKey);
   if (service != nullptr) {
     service->pool.RecordFirstEvent(*service->pool.FindRunning(aKey));
+    if (!mSuspects.Empty()) {
+      mBegunTrials.try_emplace(aKey);
+    }
   }
 }
 
@@ -191,7 +194,10 @@
     return out;
   }
   const auto& running = *service->pool.FindRunning(aKey);
-  RecordCrashEvidence(running, aReport.result, aNow);
+  InterruptedRun run;
+  run.incarnation = { running.server->descriptor.id, running.serverStarted };
+  run.key = aKey;
+  RecordCrashEvidence(std::move(run), running.job, aReport, aNow);
   UpdateEstimates(*service, running, aReport, aNow);
   if (aReport.result == SendResult::kWhole) {
     service->pool.LearnOverhead(running, aReport, aNow);
@@ -202,17 +208,110 @@
 }
 
 void
-Allocator::RecordCrashEvidence(const RunningJob& aRunning,
-                               SendResult aResult,
+Allocator::RecordOwnRun(const JobKey& aKey,
+                        const Job& aJob,
+                        const std::string& aServer,
+                        const SendReport& aReport,
+                        TimePoint aNow)
+{
+  const auto* server = FindOrAddService(aJob.service).pool.Find(aServer);
+  InterruptedRun run;
+  run.incarnation = { aServer,
+                      server != nullptr ? server->descriptor.started : 0 };
+  run.key = aKey;
+  run.own = true;
+  RecordCrashEvidence(std::move(run), aJob, aReport, aNow);
+}
+
+void
+Allocator::RecordCrashEvidence(InterruptedRun aRun,
+                               const Job& aJob,
+                               const SendReport& aReport,
                                TimePoint aNow)
 {
-  const auto& server = aRunning.server->descriptor.id;
-  if (aResult == SendResult::kCut) {
-    mSuspects.RecordInterruption(server, aRunning.job.fingerprint, aNow);
-  } else if (aResult == SendResult::kNotSent || aResult == SendResult::kMoved) {
+  const auto server = aRun.incarnation.server;
+  const auto result = aReport.result;
+  if (aReport.HasBegun()) {
+    mSuspects.RecordBegin(TraitsOf(aJob), aNow);
+  } else if (result == SendResult::kCut) {
+    aRun.traits = TraitsOf(aJob);
+  }
+  if (result == SendResult::kCut) {
+    mSuspects.RecordInterruption(aRun, aNow);
+  }
+  if (result == SendResult::kNotSent || result == SendResult::kMoved ||
+      aReport.serverDown) {
     mSuspects.RecordServerLoss(server, aNow);
-  } else if (aResult == SendResult::kWhole) {
-    mSuspects.RecordSuccess(aRunning.job.fingerprint);
+  }
+}
+
+/// Rejects a request that is known to crash servers. Returns whether it did.
+bool
+Allocator::RejectHarmful(const WaitingJob& aWaiting,
+                         const std::vector<Trait>& aTraits,
+                         TimePoint aNow,
+                         Allocations& aOut)
+{
+  if (mSuspects.StandingOf(aTraits, aNow) != CrashStanding::kHarmful) {
+    return false;
+  }
+  Reject(aWaiting,
+         RejectReason::kHarmful,
+         kMaxRetryAfter,
+         mSuspects.Describe(aTraits, aNow),
+         aOut);
+  return true;
+}
+
+/// Returns whether a request that shares a suspect trait is running and has not
+/// begun its answer. If it crashes its server, its traits need not crash
+/// another one meanwhile.
+bool
+Allocator::IsTrialRunning(const Service& aService,
+                          const std::vector<Trait>& aTraits,
+                          TimePoint aNow) const
+{
+  std::vector<Trait> suspects;
+  std::copy_if(aTraits.begin(),
+               aTraits.end(),
+               std::back_inserter(suspects),
+               [&](Trait aTrait) { return mSuspects.IsSuspect(aTrait, aNow); });
+  if (suspects.empty()) {
+    return false;
+  }
+  return aService.pool.AnyRunning([&](const RunningJob& aRunning) {
+    if (aRunning.firstEventSeen || aNow - aRunning.sent > kMaxTrialTime) {
+      return false;
+    }
+    const auto traits = TraitsOf(aRunning.job);
+    return std::any_of(suspects.begin(), suspects.end(), [&](Trait aTrait) {
+      return std::find(traits.begin(), traits.end(), aTrait) != traits.end();
+    });
+  });
+}
+
+/// Clears the traits of suspected requests whose answers have begun and whose
+/// servers have stayed up since.
+void
+Allocator::ClearBegunTrials(TimePoint aNow)
+{
+  for (auto at = mBegunTrials.begin(); at != mBegunTrials.end();) {
+    auto& [key, since] = *at;
+    auto* service = FindServiceRunning(key);
+    const auto traits = service != nullptr
+                          ? TraitsOf(service->pool.FindRunning(key)->job)
+                          : std::vector<Trait>();
+    if (mSuspects.StandingOf(traits, aNow) == CrashStanding::kNone) {
+      at = mBegunTrials.erase(at);
+      continue;
+    }
+    since = since == TimePoint{} ? aNow : since;
+    if (aNow - since < SendReport::kBeginTime) {
+      ++at;
+      continue;
+    }
+    mSuspects.RecordBegin(traits, aNow);
+    at = mBegunTrials.erase(at);
   }
 }
 
@@ -325,6 +424,7 @@
 Allocator::Tick(TimePoint aNow)
 {
   Allocations out;
+  ClearBegunTrials(aNow);
   for (auto& [name, service] : mServices) {
     if (!service.backlog.empty()) {
       DispatchWaiting(service, aNow, out);
@@ -385,12 +485,26 @@
   }
 }
 
-/// Sends a request if a server is free, or rejects it if none is usable.
+/// Sends a request if a server is free, or rejects it if none is usable or it
+/// is known to crash servers.
 Allocator::TrySendResult
 Allocator::TrySend(DispatchPass& aPass, const WaitingJob& aWaiting)
 {
   auto& pool = aPass.service.pool;
-  const auto best = pool.BestFreeServer(aWaiting.job, aWaiting.zone, aPass.now);
+  const auto traits =
+    mSuspects.Empty() ? std::vector<Trait>() : TraitsOf(aWaiting.job);
+  const auto standing = mSuspects.StandingOf(traits, aPass.now);
+  if (standing == CrashStanding::kHarmful) {
+    RejectHarmful(aWaiting, traits, aPass.now, aPass.out);
+    return TrySendResult::kDecided;
+  }
+  const bool suspect = standing == CrashStanding::kSuspect;
+  if (suspect && IsTrialRunning(aPass.service, traits, aPass.now)) {
+    return TrySendResult::kWaitForTrial;
+  }
+  const auto best =
+    suspect ? pool.EmptiestFreeServer(aWaiting.job, aWaiting.zone, aPass.now)
+            : pool.BestFreeServer(aWaiting.job, aWaiting.zone, aPass.now);
   if (best.server == nullptr) {
     if (pool.CanServe(aWaiting.job, aWaiting.zone, aPass.now)) {
       return TrySendResult::kAllBusy;
@@ -402,7 +516,7 @@
            aPass.out);
     return TrySendResult::kDecided;
   }
-  if (!best.inTime && ReserveTimelySlot(aPass, aWaiting)) {
+  if (!best.inTime && !suspect && ReserveTimelySlot(aPass, aWaiting)) {
     return TrySendResult::kWaitForSlot;
   }
   Send(aPass.service, aWaiting, best, aPass.now, aPass.out);
@@ -449,10 +563,12 @@
   auto& service = aPass.service;
   const auto best =
     service.pool.BestFreeServer(aWaiting.job, aWaiting.zone, aPass.now);
-  const bool spare = best.server != nullptr && best.inTime &&
-                     service.backlog.empty() &&
-                     service.pool.FreeSlots() >=
-                       kMinFreeFractionForOverQuota * service.pool.Slots();
+  const bool spare =
+    best.server != nullptr && best.inTime &&
+    !IsTrialRunning(service, TraitsOf(aWaiting.job), aPass.now) &&
+    service.backlog.empty() &&
+    service.pool.FreeSlots() >=
+      kMinFreeFractionForOverQuota * service.pool.Slots();
   if (spare) {
     Send(service, aWaiting, best, aPass.now, aPass.out);
   } else {
--- a/src/policy/crash_suspects_test.cpp
+++ b/src/policy/crash_suspects_test.cpp
@@ -1,74 +1,213 @@
-// A request that runs during three server crashes is harmful; requests that ran
-// on the same servers and later succeed are not.
+// A request or prompt part that runs during three server crashes is harmful;
+// those that ran on the same servers and later begin their answers are not.
 #include "magnoliatide/policy/crash_suspects.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <optional>
+#include <random>
 #include <set>
 
 namespace magnoliatide::policy {
 namespace {
 
-constexpr std::uint64_t kHarmfulRequest = 7;
+constexpr Trait kHarmful = 7;
 constexpr TimePoint kStart = TimePoint(Seconds(1000));
 
-/// Simulates a server crash while the given requests run.
-void
-Crash(CrashSuspects& aSuspects,
-      const std::string& aServer,
-      const std::vector<std::uint64_t>& aBatch,
-      TimePoint aNow)
+/// Records crashes at one VM.
+class Crashes
 {
-  for (const auto fingerprint : aBatch) {
-    aSuspects.RecordInterruption(aServer, fingerprint, aNow);
+public:
+  explicit Crashes(CrashSuspects& aSuspects, std::uint64_t aVm = 1)
+    : mSuspects(aSuspects)
+    , mVm(aVm)
+  {
   }
-  aSuspects.RecordServerLoss(aServer, aNow + Milliseconds(100));
+
+  void Interrupt(const ServerIncarnation& aServer,
+                 const std::vector<Trait>& aTraits,
+                 TimePoint aNow)
+  {
+    InterruptedRun run;
+    run.incarnation = aServer;
+    run.key = { mVm, ++mLastJob };
+    run.traits = aTraits;
+    run.own = true;
+    mSuspects.RecordInterruption(run, aNow);
+  }
+
+  /// Simulates a server crash while requests with one trait each run.
+  void Crash(const ServerIncarnation& aServer,
+             const std::vector<Trait>& aBatch,
+             TimePoint aNow)
+  {
+    for (const auto trait : aBatch) {
+      Interrupt(aServer, { trait }, aNow);
+    }
+    mSuspects.RecordServerLoss(aServer.server, aNow + Milliseconds(100));
+  }
+
+private:
+  CrashSuspects& mSuspects;
+  std::uint64_t mVm;
+  JobId mLastJob = 0;
+};
+
+bool
+IsHarmful(const CrashSuspects& aSuspects, Trait aTrait, TimePoint aNow)
+{
+  return aSuspects.StandingOf({ aTrait }, aNow) == CrashStanding::kHarmful;
 }
 
 TEST(CrashSuspects, ThirdCrashMakesRequestHarmful)
 {
   CrashSuspects suspects;
-  Crash(suspects, "a", { kHarmfulRequest }, kStart);
-  Crash(suspects, "b", { kHarmfulRequest }, kStart + Seconds(1));
-  EXPECT_FALSE(suspects.IsHarmful(kHarmfulRequest, kStart + Seconds(2)));
-  Crash(suspects, "c", { kHarmfulRequest }, kStart + Seconds(2));
-  EXPECT_TRUE(suspects.IsHarmful(kHarmfulRequest, kStart + Seconds(3)));
+  Crashes crashes(suspects);
+  crashes.Crash({ "a", 1 }, { kHarmful }, kStart);
+  crashes.Crash({ "b", 1 }, { kHarmful }, kStart + Seconds(1));
+  EXPECT_FALSE(IsHarmful(suspects, kHarmful, kStart + Seconds(2)));
+  crashes.Crash({ "c", 1 }, { kHarmful }, kStart + Seconds(2));
+  EXPECT_TRUE(IsHarmful(suspects, kHarmful, kStart + Seconds(3)));
 }
 
+// The roster may still show the old incarnation of a server that crashes again.
 TEST(CrashSuspects, SimultaneousInterruptionsCountAsCrash)
 {
   CrashSuspects suspects;
+  Crashes crashes(suspects);
   for (int i = 0; i < 3; ++i) {
     const auto now = kStart + Seconds(i);
-    suspects.RecordInterruption("a", kHarmfulRequest, now);
-    suspects.RecordInterruption("a", 100 + static_cast<std::uint64_t>(i), now);
+    crashes.Interrupt({ "a", 1 }, { kHarmful }, now);
+    crashes.Interrupt({ "a", 1 }, { 100 + static_cast<Trait>(i) }, now);
   }
-  EXPECT_TRUE(suspects.IsHarmful(kHarmfulRequest, kStart + Seconds(3)));
-  EXPECT_FALSE(suspects.IsHarmful(100, kStart + Seconds(3)));
+  EXPECT_TRUE(IsHarmful(suspects, kHarmful, kStart + Seconds(3)));
+  EXPECT_FALSE(IsHarmful(suspects, 100, kStart + Seconds(3)));
 }
 
 TEST(CrashSuspects, InterruptionAtLiveServerIsNotACrash)
 {
   CrashSuspects suspects;
+  Crashes crashes(suspects);
   for (int i = 0; i < 10; ++i) {
-    suspects.RecordInterruption("a", kHarmfulRequest, kStart + Seconds(i));
+    crashes.Interrupt({ "a", 1 }, { kHarmful }, kStart + Seconds(i));
   }
-  EXPECT_FALSE(suspects.IsHarmful(kHarmfulRequest, kStart + Seconds(11)));
+  EXPECT_FALSE(IsHarmful(suspects, kHarmful, kStart + Seconds(11)));
 }
 
-TEST(CrashSuspects, CountsFromOtherVmsAreMerged)
+TEST(CrashSuspects, CrashesFromOtherVmsAreMerged)
 {
   CrashSuspects here;
   CrashSuspects there;
+  Crashes crashes(there);
+  for (const char* server : { "a", "b", "c" }) {
+    crashes.Crash({ server, 1 }, { kHarmful }, kStart);
+  }
+  for (const auto& crash : there.TakeCrashes()) {
+    here.Merge(crash, kStart, kStart);
+  }
+  EXPECT_TRUE(IsHarmful(here, kHarmful, kStart));
+  EXPECT_TRUE(there.TakeCrashes().empty());
+}
+
+// Guards against counts that are merged by their maximum: crashes seen by
+// different VMs never add up.
+TEST(CrashSuspects, CrashesSeenByDifferentVmsAddUp)
+{
+  CrashSuspects here;
+  std::uint64_t vm = 1;
   for (const char* server : { "a", "b", "c" }) {
-    Crash(there, server, { kHarmfulRequest }, kStart);
+    EXPECT_FALSE(IsHarmful(here, kHarmful, kStart));
+    CrashSuspects there;
+    Crashes(there, ++vm).Crash({ server, 1 }, { kHarmful }, kStart);
+    for (const auto& crash : there.TakeCrashes()) {
+      here.Merge(crash, kStart, kStart);
+    }
   }
-  for (const auto& count : there.TakeChangedCounts()) {
-    here.Merge(count, kStart);
+  EXPECT_TRUE(IsHarmful(here, kHarmful, kStart));
+}
+
+// Guards against a crash that counts once for each VM that has seen it.
+TEST(CrashSuspects, ACrashCountsOnceWhoeverReportsIt)
+{
+  CrashSuspects here;
+  for (std::uint64_t vm = 1; vm <= 5; ++vm) {
+    CrashSuspects there;
+    Crashes(there, vm).Crash({ "a", 1 }, { kHarmful, 100 + vm }, kStart);
+    for (const auto& crash : there.TakeCrashes()) {
+      here.Merge(crash, kStart, kStart + Milliseconds(20));
+    }
+  }
+  Crashes(here, 9).Crash({ "a", 1 }, { kHarmful }, kStart + Milliseconds(30));
+  EXPECT_FALSE(IsHarmful(here, kHarmful, kStart + Seconds(1)));
+  EXPECT_EQ(here.StandingOf({ kHarmful }, kStart + Seconds(1)),
+            CrashStanding::kSuspect);
+}
+
+// Guards against a suspicion that begins seconds after the crash, when the
+// store shows that the server is gone.
+TEST(CrashSuspects, AnInterruptedRequestIsSuspectedAtOnce)
+{
+  CrashSuspects suspects;
+  Crashes crashes(suspects);
+  crashes.Interrupt({ "a", 1 }, { kHarmful, 100 }, kStart);
+  EXPECT_EQ(suspects.StandingOf({ kHarmful }, kStart), CrashStanding::kSuspect);
+  suspects.RecordServerLoss("a", kStart + Seconds(5));
+  crashes.Crash({ "b", 1 }, { kHarmful }, kStart + Seconds(5));
+  crashes.Crash({ "c", 1 }, { kHarmful }, kStart + Seconds(6));
+  EXPECT_TRUE(IsHarmful(suspects, kHarmful, kStart + Seconds(7)));
+}
+
+// Guards against a sound part that is refused because it was in each request
+// with the harmful one, and against refusing neither.
+TEST(CrashSuspects, RequestsThatCanTellTwoPartsApartAreTried)
+{
+  constexpr Trait kShared = 50;
+  CrashSuspects suspects;
+  Crashes crashes(suspects);
+  for (Trait i = 0; i < 3; ++i) {
+    crashes.Interrupt({ "a", i }, { kShared, kHarmful, 100 + i }, kStart);
+    suspects.RecordServerLoss("a", kStart);
+  }
+  const auto now = kStart + Seconds(1);
+  EXPECT_EQ(suspects.StandingOf({ kShared, kHarmful, 200 }, now),
+            CrashStanding::kHarmful);
+  EXPECT_EQ(suspects.StandingOf({ kShared, 201 }, now),
+            CrashStanding::kSuspect);
+  suspects.RecordBegin({ kShared, 201 }, now);
+  EXPECT_EQ(suspects.StandingOf({ kShared, 201 }, now), CrashStanding::kNone);
+  EXPECT_EQ(suspects.StandingOf({ 51, kHarmful, 202 }, now),
+            CrashStanding::kHarmful);
+}
+
+// Guards against a part that stays refused at one VM because another one has
+// cleared it, in whatever order the reports arrive.
+TEST(CrashSuspects, ClearancesFromOtherVmsHold)
+{
+  CrashSuspects there;
+  Crashes crashes(there);
+  for (const char* server : { "a", "b", "c" }) {
+    crashes.Crash({ server, 1 }, { 50 }, kStart);
+  }
+  const auto records = there.TakeCrashes();
+  there.RecordBegin({ 50 }, kStart + Seconds(2));
+  EXPECT_EQ(there.TakeClearances(), std::vector<Trait>{ 50 });
+  for (const bool clearanceFirst : { false, true }) {
+    CrashSuspects here;
+    const auto now = kStart + Seconds(3);
+    if (clearanceFirst) {
+      here.MergeClearance(50, kStart + Seconds(2), now);
+    }
+    for (const auto& record : records) {
+      here.Merge(record, kStart, now);
+    }
+    if (!clearanceFirst) {
+      EXPECT_TRUE(IsHarmful(here, 50, now));
+      here.MergeClearance(50, kStart + Seconds(2), now);
+    }
+    EXPECT_EQ(here.StandingOf({ 50 }, now), CrashStanding::kNone);
   }
-  EXPECT_TRUE(here.IsHarmful(kHarmfulRequest, kStart));
-  EXPECT_TRUE(there.TakeChangedCounts().empty());
 }
 
 /// Requests that succeed between crashes never become harmful, even if they run
@@ -77,23 +216,106 @@
 RC_GTEST_PROP(CrashSuspects, SuccessfulRequestsAreNeverHarmful, ())
 {
   CrashSuspects suspects;
+  Crashes recorder(suspects);
   TimePoint now = kStart;
   const int crashes = *rc::gen::inRange(3, 12);
   for (int i = 0; i < crashes; ++i) {
-    const auto generated = *rc::gen::container<std::vector<std::uint64_t>>(
-      rc::gen::inRange<std::uint64_t>(100, 120));
-    const std::set<std::uint64_t> batch(generated.begin(), generated.end());
-    std::vector<std::uint64_t> all(batch.begin(), batch.end());
-    all.push_back(kHarmfulRequest);
-    Crash(suspects, "server-" + std::to_string(i % 4), all, now);
-    for (const auto fingerprint : batch) {
-      suspects.RecordSuccess(fingerprint);
+    const auto generated = *rc::gen::container<std::vector<Trait>>(
+      rc::gen::inRange<Trait>(100, 120));
+    const std::set<Trait> batch(generated.begin(), generated.end());
+    std::vector<Trait> all(batch.begin(), batch.end());
+    all.push_back(kHarmful);
+    recorder.Crash({ "server-" + std::to_string(i % 4), 1 }, all, now);
+    for (const auto trait : batch) {
+      suspects.RecordBegin({ trait }, now + Milliseconds(200));
     }
     now += Milliseconds(*rc::gen::inRange(1600, 9000));
-    for (const auto fingerprint : batch) {
-      RC_ASSERT(!suspects.IsHarmful(fingerprint, now));
+    for (const auto trait : batch) {
+      RC_ASSERT(!IsHarmful(suspects, trait, now));
+    }
+    RC_ASSERT(IsHarmful(suspects, kHarmful, now) == (i >= 2));
+  }
+}
+
+/// Each VM sees some of the runs that a crash interrupts, and hears from the
+/// others late, repeatedly and in any order. Once all reports have arrived, a
+/// part that was in three crashes is harmful at every VM, and parts that have
+/// begun elsewhere are not.
+RC_GTEST_PROP(CrashSuspects, AllVmsAgreeOnTheHarmfulPart, ())
+{
+  constexpr std::size_t kVms = 4;
+  constexpr Trait kFirstShared = 50;
+  std::vector<CrashSuspects> suspects(kVms);
+  std::vector<Crashes> recorders;
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    recorders.emplace_back(suspects[vm], vm + 1);
+  }
+  struct Report
+  {
+    std::size_t from;
+    std::optional<CrashRecord> crash;
+    Trait cleared;
+    TimePoint at;
+  };
+  std::vector<Report> reports;
+  const auto collect = [&](TimePoint aAt) {
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      for (const auto& crash : suspects[vm].TakeCrashes()) {
+        reports.push_back({ vm, crash, 0, aAt });
+      }
+      for (const auto trait : suspects[vm].TakeClearances()) {
+        reports.push_back({ vm, std::nullopt, trait, aAt });
+      }
+    }
+  };
+  const int crashes = *rc::gen::inRange(3, 6);
+  TimePoint now = kStart;
+  for (int i = 0; i < crashes; ++i) {
+    now += Seconds(5);
+    const ServerIncarnation server{ "s", static_cast<std::uint64_t>(i) };
+    const auto shared = kFirstShared + *rc::gen::inRange<Trait>(0, 3);
+    const Trait unique = 1000 + static_cast<Trait>(i);
+    recorders[*rc::gen::inRange<std::size_t>(0, kVms)].Interrupt(
+      server, { shared, kHarmful, unique }, now);
+    // A sound request beside it, at another VM or the same one.
+    recorders[*rc::gen::inRange<std::size_t>(0, kVms)].Interrupt(
+      server, { kFirstShared, unique + 500 }, now + Milliseconds(50));
+    for (auto& one : suspects) {
+      one.RecordServerLoss("s", now + Milliseconds(60));
+    }
+    collect(now);
+  }
+  now += Seconds(5);
+  for (Trait part = kFirstShared; part < kFirstShared + 3; ++part) {
+    for (auto& one : suspects) {
+      one.RecordBegin({ part, 2000 + part }, now);
+    }
+  }
+  collect(now);
+  const auto seed = *rc::gen::arbitrary<unsigned>();
+  std::mt19937 random(seed);
+  auto deliveries = reports;
+  deliveries.insert(deliveries.end(), reports.begin(), reports.end());
+  std::shuffle(deliveries.begin(), deliveries.end(), random);
+  now += Seconds(1);
+  for (const auto& report : deliveries) {
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      if (vm == report.from) {
+        continue;
+      }
+      if (report.crash) {
+        suspects[vm].Merge(*report.crash, report.at, now);
+      } else {
+        suspects[vm].MergeClearance(report.cleared, report.at, now);
+      }
+    }
+  }
+  for (const auto& one : suspects) {
+    for (Trait part = kFirstShared; part < kFirstShared + 3; ++part) {
+      RC_ASSERT(one.StandingOf({ part, kHarmful, 3000 }, now) ==
+                CrashStanding::kHarmful);
+      RC_ASSERT(one.StandingOf({ part, 3001 }, now) == CrashStanding::kNone);
     }
-    RC_ASSERT(suspects.IsHarmful(kHarmfulRequest, now) == (i >= 2));
   }
 }
 
--- a/src/policy/job.cpp
+++ b/src/policy/job.cpp
@@ -1,8 +1,15 @@
-// Names of send results.
+// Names and properties of send results.
 #include "magnoliatide/policy/job.h"
 
 namespace magnoliatide::policy {
 
+bool
+SendReport::HasBegun() const
+{
+  return result == SendResult::kWhole || (toFirstEvent > Duration::zero() &&
+                                          toEnd - toFirstEvent >= kBeginTime);
+}
+
 const char*
 Name(SendResult aResult)
 {
--- a/src/policy/server_pool.cpp
+++ b/src/policy/server_pool.cpp
@@ -155,6 +155,7 @@
 ServerPool::Start(PoolServer& aServer, RunningJob aRunning)
 {
   aRunning.server = &aServer;
+  aRunning.serverStarted = aServer.descriptor.started;
   aRunning.prefillTokens =
     aServer.pendingPrefillTokens + aRunning.job.promptTokens;
   const auto key = aRunning.key;
@@ -489,6 +490,28 @@
   return useProbe ? probe : best;
 }
 
+Forecast
+ServerPool::EmptiestFreeServer(const Job& aJob,
+                               const std::string& aZone,
+                               TimePoint aNow)
+{
+  Forecast emptiest;
+  for (auto* server : mOpenServers) {
+    if (FreeSlotsOf(*server) <= 0 || !IsEligible(*server, aJob, aZone, aNow)) {
+      continue;
+    }
+    const auto forecast = Predict(*server, aJob, aZone, aNow);
+    const bool emptier =
+      emptiest.server == nullptr ||
+      server->running.size() < emptiest.server->running.size();
+    if (!forecast.probe && emptier) {
+      emptiest = forecast;
+    }
+  }
+  return emptiest.server != nullptr ? emptiest
+                                    : BestFreeServer(aJob, aZone, aNow);
+}
+
 /// Returns the server with the fewest running requests, as a probe, if no
 /// server is eligible: rejecting every request would be worse than trying an
 /// unhealthy server.
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -43,7 +43,7 @@
 template<>
 constexpr std::uint8_t kEnumValueCount<MemberState> = 4;
 template<>
-constexpr std::uint8_t kEnumValueCount<RumourKind> = 2;
+constexpr std::uint8_t kEnumValueCount<RumourKind> = 4;
 template<>
 constexpr std::uint8_t kEnumValueCount<Vote> = 3;
 template<>
@@ -151,7 +151,7 @@
   } else if constexpr (kIs<T, DispatchRequest>) {
     Each(aVisit, aV.number, aV.service, aV.kind, aV.team, aV.tier);
     Each(aVisit, aV.promptTokens, aV.outputTokens, aV.stream, aV.eventTokens);
-    Each(aVisit, aV.fingerprint);
+    Each(aVisit, aV.fingerprint, aV.sharedParts);
     Each(aVisit,
          aV.ageMillis,
          aV.targetMillis,
@@ -171,6 +171,7 @@
   } else if constexpr (kIs<T, DispatchProgress>) {
     Each(aVisit, aV.number, aV.ended, aV.result, aV.outputTokens);
     Each(aVisit, aV.laterTokens, aV.firstEventMicros, aV.totalMicros);
+    Each(aVisit, aV.serverDown);
   } else if constexpr (kIs<T, RunningRequest>) {
     Each(aVisit, aV.number, aV.service, aV.server, aV.promptTokens);
     Each(aVisit, aV.outputTokens, aV.gapTargetMillis, aV.ageMillis, aV.stream);
