Do not count a server that has ended as an attempt of a begun stream

Cause, traced: a check for a sign of life that is in progress when a pause of all servers ends is answered. The takeover is sent, and abandoned as soon as the first server continues. It has used the second of two attempts, so that the stream is given up when its server crashes later. Whether a check is in progress at that moment depends on the load. The new test makes it so: it failed in 3 of 3 runs, with status 2 and the same log lines.

Change: a server that is found to be down after a begun answer does not count as an attempt, as the users' rule on attempts says. Without a begun answer it still counts, since the request may have crashed it.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -221,6 +221,11 @@
       end.report.serverDown = co_await params.pool->Refuses(
         sender->Server().address, kDownCheckTimeout);
     }
+    if (end.report.serverDown && end.report.HasBegun()) {
+      // A server that has ended does not count as an attempt. Without a begun
+      // answer, the request itself may have crashed it.
+      aRequest->runs -= 1;
+    }
     RecordSendEnd(params, *aRequest, sender->Server().id, end);
     if (end.successor) {
       // The silence was reported when it began.
--- a/tests/takeover_process_test.cpp
+++ b/tests/takeover_process_test.cpp
@@ -241,6 +241,26 @@
   ExpectCompleteQuotes();
 }
 
+// Guards against a stream that is aborted when its server crashes, because an
+// abandoned takeover has used up its attempts. Its server has ended and need
+// not count as one.
+TEST_F(Takeovers, AnAbandonedTakeoverLeavesAnAttemptAfterACrash)
+{
+  // The head comes after the silent server has continued.
+  mOptions.firstByteDelay = Milliseconds(250);
+  StartWith(2, 2);
+  StartQuotes(1);
+  Sleep(100);
+  const auto busy = Busy();
+  // The other server answers the last check for a sign of life.
+  At(1 - busy).FallSilent(Milliseconds(1550));
+  At(busy).FallSilent(Milliseconds(1620));
+  Sleep(2200);
+  EXPECT_EQ(At(1 - busy).Runs().size(), 1u);
+  At(busy).Crash();
+  ExpectCompleteQuotes();
+}
+
 // Guards against streams that are aborted when their server crashes, because
 // the time that they may wait for a slot is counted from their arrival.
 TEST_F(Takeovers, AnOldStreamMayWaitForASlot)
