Do not append another server's error to a stream

What callers could see: a stream had begun and broke off; the next engine answered with status 200 and the text of an error. Also, an empty stream of the next engine ended it.

Cause: bytes after the last event of a framed answer were relayed as the rest of the stream, also if the stream had been continued by another server.

Change: what a server sends to continue a stream must end with a whole event, otherwise the run is lost and the stream is aborted or resumed elsewhere.

Measured: BrokenAnswers.AnErrorOfTheNextServerIsNotPartOfTheStream failed before with an error document of status 200; ten other answers of the next server (500, 503 with and without Not-Executed, 429, without signature, garbage, half a head, 101, 999) did not reach the caller before, either.

--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -490,6 +490,7 @@
 Sender::RelayStream(AnswerHead aHead)
 {
   auto& events = mRequest->events;
+  const bool resumes = mRequest->writer != nullptr;
   std::string chunk;
   std::string completeEvents;
   while (true) {
@@ -520,10 +521,10 @@
     }
   }
   // If the answer ends with its connection, only its events show that it is
-  // whole.
+  // whole. What another server sends must continue the events as well.
   const bool unframed = mConnection->EndsWithConnection();
-  const bool empty = events.EventCount() == mEventsBefore;
-  if (unframed && (empty || events.IsInsideEvent())) {
+  const bool broken = events.IsInsideEvent() && (unframed || resumes);
+  if (broken || (unframed && events.EventCount() == mEventsBefore)) {
     mConnection->Close();
     co_return EndLost(http::CallStatus::kCut);
   }
--- a/tests/broken_stream_process_test.cpp
+++ b/tests/broken_stream_process_test.cpp
@@ -149,5 +149,44 @@
   EXPECT_EQ(CallTo("/quotes/1").response.status, 502);
 }
 
+// Guards against a stream that has begun and gets the text of another server's
+// error, or ends as complete with it.
+TEST_F(BrokenAnswers, AnErrorOfTheNextServerIsNotPartOfTheStream)
+{
+  for (const auto fault : { EngineFault::kFailed,
+                            EngineFault::kErrorDocument,
+                            EngineFault::kFalsePromise,
+                            EngineFault::kUnsigned,
+                            EngineFault::kGarbage,
+                            EngineFault::kCutHead,
+                            EngineFault::kUnframedHead,
+                            EngineFault::kBadStatus,
+                            EngineFault::kSwitchProtocols,
+                            EngineFault::kFull,
+                            EngineFault::kThrottled }) {
+    PlatformFleet fleet(NameOfTest());
+    for (const char* id : { "i-1", "i-2" }) {
+      mOptions.id = id;
+      fleet.AddEngine(mOptions);
+    }
+    fleet.Publish({ RouteConfig() }, { TeamConfig() });
+    ASSERT_TRUE(fleet.Start());
+    CallSpec call;
+    call.path = "/quotes/1";
+    auto pending = fleet.StartCall(0, call);
+    std::this_thread::sleep_for(Milliseconds(100));
+    auto& engines = fleet.Engines();
+    const std::size_t busy = engines[0]->Runs().empty() ? 1 : 0;
+    engines[1 - busy]->SetFault(fault);
+    engines[busy]->Crash();
+    const auto result = pending.Result();
+    const auto& body = result.response.body;
+    const auto label = "fault " + std::to_string(static_cast<int>(fault));
+    EXPECT_NE(result.status, CallStatus::kDone) << label;
+    EXPECT_FALSE(body.empty()) << label;
+    EXPECT_EQ(WholeStream("/quotes/1").substr(0, body.size()), body) << label;
+  }
+}
+
 } // namespace
 } // namespace magnoliatide::tests
