--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -117,6 +117,19 @@
     Post([this] { ResetAll(); });
   }
 
+  void NameRateLimit(const std::string& aLimit) override
+  {
+    Post([this, aLimit] {
+      mLimitHeader = aLimit.empty() ? "" : "Server-Limit: " + aLimit + "\r\n";
+    });
+  }
+
+  std::vector<TimePoint> ArrivalTimes() const override
+  {
+    std::lock_guard<std::mutex> lock(mMutex);
+    return mArrivalTimes;
+  }
+
   int PartCrashes() const override { return mPartCrashes.load(); }
 
   void Restart(const std::string& aId) override
@@ -261,9 +274,9 @@
     if (health) {
       co_return co_await Write(aSocket, MakeResponse(200, "ok", "", false));
     }
-    mArrivals += 1;
-    const auto id =
-      "Attempt-Id: " + HeaderValue(message, "Attempt-Id") + "\r\n";
+    RecordArrival();
+    const auto id = "Attempt-Id: " + HeaderValue(message, "Attempt-Id") +
+                    "\r\n" + mLimitHeader;
     const auto expected = HeaderValue(message, "Expect-Instance");
     if (!expected.empty() && expected != mOptions.id) {
       co_return co_await Refuse(
@@ -283,6 +296,13 @@
     co_return co_await Run(aSocket, aBuffer, aParser, fault, arrived);
   }
 
+  void RecordArrival()
+  {
+    mArrivals += 1;
+    std::lock_guard<std::mutex> lock(mMutex);
+    mArrivalTimes.push_back(Clock::now());
+  }
+
   /// Writes a refusal, and keeps it if it is to be written once more.
   ///
   /// @param aHeaders Headers except the one of the id.
@@ -475,7 +495,7 @@
                               const EngineRun& aRun,
                               EngineFault aFault)
   {
-    const auto id = "Attempt-Id: " + aRun.requestId + "\r\n";
+    const auto id = "Attempt-Id: " + aRun.requestId + "\r\n" + mLimitHeader;
     const auto signature = "Engine-Signature: " + Sign(aRun) + "\r\n";
     switch (aFault) {
       case EngineFault::kFailed:
@@ -670,6 +690,7 @@
   EngineFault mFault = EngineFault::kNone;
   int mFaultyRequests = 0;     ///< Next requests with mFault; negative for all.
   std::deque<EngineRun> mRuns; ///< A deque, so that references stay valid.
+  std::vector<TimePoint> mArrivalTimes;
   std::int64_t mStarted = 1;
   mutable std::int64_t mSequence = 0;
   std::atomic<int> mArrivals{ 0 };
@@ -677,6 +698,7 @@
   std::atomic<int> mPartCrashes{ 0 };
   // The members below are used on the event loop only.
   int mRunning = 0;
+  std::string mLimitHeader; ///< With its line end; empty for none.
   RefusalFault mRefusalFault;
   /// Refusals that are to be written once more, by connection.
   std::map<tcp::socket*, std::string> mRefusals;
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -153,6 +153,13 @@
   /// Resets all connections and stops listening.
   virtual void Crash() = 0;
 
+  /// Names a limit in all answers from now on: the requests per second that the
+  /// engine takes from all VMs together. An empty text names none.
+  virtual void NameRateLimit(const std::string& aLimit) = 0;
+
+  /// Returns when each request was received, run or not.
+  virtual std::vector<TimePoint> ArrivalTimes() const = 0;
+
   /// Returns how often the engine has crashed because of its deadly part.
   virtual int PartCrashes() const = 0;
 
