Keep to the rate limits that servers name

Cause: no VM read the limit. Where a limit acts was open as well: requests are granted by the coordinator, locally by a VM that is cut off, and by the next coordinator after a stop, and all three add up at the server.

Change: the limit is decoded from the head of each answer and kept per incarnation of a server where requests are granted, as a token bucket (ServerRateLimit). It ends with an answer without a limit whose request was sent after the last one that named it, so that the order of arrival does not matter. Each VM tells the coordinator what it has seen, at once when it changes and in full when the coordinator changes; runs that another coordinator granted count as sends. A bucket starts empty, so that a new coordinator sends no burst. A limited server offers no slots beyond its limit in forecasts of waits and capacity. Limits below 0.2 a second are treated as that, since a server that gets nothing cannot end its limit; values that are no number are ignored. A change is logged as server-limit.

--- a/include/magnoliatide/fleet/dispatch_client.h
+++ b/include/magnoliatide/fleet/dispatch_client.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -85,6 +86,14 @@
   /// Reports the first event of the answer to a dispatched request.
   void RecordFirstEvent(policy::JobId aJob, TimePoint aNow);
 
+  /// Records the head of the answer to a dispatched request: the requests per
+  /// second that it names as its server's limit, or that it names none. Returns
+  /// what has changed for this VM, if anything.
+  std::optional<policy::RateLimitNotice> RecordRateLimit(
+    policy::JobId aJob,
+    std::optional<double> aPerSecond,
+    TimePoint aNow);
+
   /// Reports that the server of a dispatched request is silent.
   void RecordSilence(policy::JobId aJob);
 
@@ -134,7 +143,16 @@
     std::uint64_t coordinator = 0;
     std::string server;
     TimePoint at;
-    bool firstEventSeen = false; ///< The first event was received.
+    bool firstEventSeen = false;     ///< The first event was received.
+    bool hasHead = false;            ///< The head of the answer was read.
+    std::optional<double> rateLimit; ///< That the head names.
+  };
+
+  /// A rate limit that an answer to this VM named.
+  struct KnownLimit
+  {
+    policy::RateLimitNotice notice;
+    int reportsLeft = 0; ///< Reports that are still to contain it.
   };
 
   struct QuotaCharge
@@ -169,6 +187,8 @@
                    TimePoint aNow);
   void EnqueueReport(TimePoint aNow);
   wire::DispatchReport ReportFor(std::uint64_t aCoordinator, TimePoint aNow);
+  std::vector<wire::ServerRateLimit> LimitsFor(std::uint64_t aCoordinator,
+                                               TimePoint aNow);
   void Expire(TimePoint aNow);
 
   DispatchClientOptions mOptions;
@@ -184,6 +204,9 @@
   std::vector<DispatchMessage> mMessages;
   std::deque<QuotaCharge> mCharges;
   std::deque<GrantRecord> mGrants;
+  std::map<std::string, KnownLimit> mLimits; ///< By server.
+  /// The coordinator that the reportsLeft of mLimits refer to.
+  std::uint64_t mLimitsReportedTo = 0;
   std::uint64_t mLastNumber = 0;
   std::uint64_t mLastCoordinator = 0; ///< Receiver of the last request.
   TimePoint mNextReport{};
--- a/include/magnoliatide/fleet/dispatch_coordinator.h
+++ b/include/magnoliatide/fleet/dispatch_coordinator.h
@@ -41,7 +41,8 @@
   void SetServers(const routing::Roster& aRoster, TimePoint aNow);
 
   /// Sets the fractions that this coordinator may grant: of each server's
-  /// slots, and of quotas and the slack of retry budgets.
+  /// slots, and of quotas, rate limits of servers and the slack of retry
+  /// budgets.
   void SetShares(double aSlotShare, double aQuotaShare);
 
   /// Submits a request of a VM. TakeReplies() returns the reply, which may be
@@ -101,6 +102,12 @@
   /// Returns and clears the replies to deliver.
   std::vector<AddressedReply> TakeReplies();
 
+  /// Returns the start of a server's known incarnation, or zero.
+  std::uint64_t StartOf(const std::string& aService, const std::string& aServer)
+  {
+    return mAllocator.StartOf(aService, aServer);
+  }
+
   const policy::Allocator& Allocator() const { return mAllocator; }
 
 private:
@@ -119,6 +126,9 @@
                    wire::DispatchReply& aReply,
                    TimePoint aNow);
   void RefundRetry(const policy::JobKey& aKey);
+  void RecordHead(const policy::JobKey& aKey,
+                  const wire::DispatchProgress& aProgress,
+                  TimePoint aNow);
   void EnqueueReply(std::uint64_t aVm,
                     wire::DispatchReply aReply,
                     TimePoint aNow);
--- a/include/magnoliatide/forward/call.h
+++ b/include/magnoliatide/forward/call.h
@@ -68,6 +68,10 @@
   bool unprovenRefusal = false;
   bool closing = false; ///< The server closes the connection.
   bool eventStream = false;
+  /// Names a limit on the requests per second that the server takes from all
+  /// VMs together.
+  bool namesRateLimit = false;
+  std::optional<double> rateLimit;     ///< That limit, if it is valid.
   bool encoded = false;                ///< The body has a content encoding.
   std::optional<Duration> idleTimeout; ///< Of the server's connection.
   http::Response forCaller;            ///< No hop-by-hop headers, no body.
--- a/include/magnoliatide/forward/dispatcher.h
+++ b/include/magnoliatide/forward/dispatcher.h
@@ -8,6 +8,7 @@
 #include "magnoliatide/routing/roster.h"
 
 #include <functional>
+#include <optional>
 
 namespace magnoliatide::forward {
 
@@ -41,6 +42,11 @@
   /// Records that the first event of the answer to a sent request arrived.
   virtual void RecordFirstEvent(policy::JobId aId) = 0;
 
+  /// Records the head of the answer to a sent request: the requests per second
+  /// that it names as its server's limit, or that it names none.
+  virtual void RecordRateLimit(policy::JobId aId,
+                               std::optional<double> aPerSecond) = 0;
+
   /// Records that the server of a sent request has been silent for a while. The
   /// send goes on.
   virtual void RecordSilence(policy::JobId aId) = 0;
--- a/include/magnoliatide/policy/allocator.h
+++ b/include/magnoliatide/policy/allocator.h
@@ -62,6 +62,19 @@
   /// left to allocators with which it exchanges no state.
   void SetShare(double aShare);
 
+  /// Sets the fraction of the rate limits of servers that this allocator may
+  /// use.
+  void SetRateLimitShare(double aShare);
+
+  /// Merges what an answer of a server tells about its rate limit.
+  void MergeRateLimit(const RateLimitNotice& aNotice, TimePoint aNow);
+
+  /// Records the rate limit that the answer to a running request names, or that
+  /// it names none.
+  void RecordRateLimit(const JobKey& aKey,
+                       std::optional<double> aPerSecond,
+                       TimePoint aNow);
+
   /// Submits a request. Exactly one allocation is returned for it, by this or a
   /// later call, unless Withdraw(), DropWaiting() or RemoveVm() removes it
   /// first.
@@ -137,6 +150,10 @@
   /// callers are not expected to wait long enough. Must be called periodically.
   Allocations Tick(TimePoint aNow);
 
+  /// Returns the start of a server's known incarnation, or zero.
+  std::uint64_t StartOf(const std::string& aService,
+                        const std::string& aServer);
+
   /// Returns the number of queued requests.
   std::size_t Waiting() const;
 
@@ -216,6 +233,7 @@
   AllocatorOptions mOptions;
   std::mt19937_64 mRandom;
   double mShare = 1; ///< Usable fraction of each server's slots, 0 to 1.
+  double mRateLimitShare = 1; ///< Usable fraction of rate limits, 0 to 1.
   std::map<std::string, Service> mServices;
   CrashSuspects mSuspects;
   /// Running requests with suspect traits whose answers have begun, and since
--- a/include/magnoliatide/policy/server_pool.h
+++ b/include/magnoliatide/policy/server_pool.h
@@ -6,6 +6,7 @@
 
 #include "magnoliatide/policy/job.h"
 #include "magnoliatide/policy/server_health.h"
+#include "magnoliatide/policy/server_rate_limit.h"
 #include "magnoliatide/policy/service_speed.h"
 #include "magnoliatide/routing/roster.h"
 
@@ -41,6 +42,7 @@
 {
   routing::Server descriptor; ///< As listed in the roster.
   ServerSpeed speed;
+  ServerRateLimit rateLimit;
   std::vector<RunningJob*> running;
   /// Prompt tokens of running requests without a first event.
   double pendingPrefillTokens = 0;
@@ -89,8 +91,8 @@
   {
   }
 
-  /// Adds or updates a server. Discards the measured speed and health if the
-  /// server was restarted.
+  /// Adds or updates a server. Discards the measured speed, the health and the
+  /// rate limit if the server was restarted.
   void SetServer(const routing::Server& aServer);
 
   /// Stops sending requests to servers missing from a roster, and removes those
@@ -100,6 +102,13 @@
   /// Limits the pool to a fraction of each server's slots, at least one slot.
   void SetShare(double aShare);
 
+  /// Sets the fraction of the rate limits of servers that this pool may use.
+  void SetRateLimitShare(double aShare);
+
+  /// Merges what an answer of a server tells about its rate limit. Ignores
+  /// unknown incarnations.
+  void MergeRateLimit(const RateLimitNotice& aNotice, TimePoint aNow);
+
   /// Sets how many requests beyond its slots a server may be sent, so that it
   /// does not idle until the next one arrives.
   ///
@@ -208,9 +217,9 @@
   double Capacity(const std::string& aZone, TimePoint aNow);
 
   /// Returns how many more requests the servers may be sent now, regardless of
-  /// their health. Besides unused slots, counts the allowance for requests in
-  /// transit and the queue depth.
-  int FreeSlots() const;
+  /// their health, within their rate limits. Besides unused slots, counts the
+  /// allowance for requests in transit and the queue depth.
+  int FreeSlots(TimePoint aNow) const;
 
   /// Returns the number of slots of all servers that are not leaving.
   int Slots() const;
@@ -233,7 +242,7 @@
                    TimePoint aNow) const;
   void UpdateOpenList(PoolServer& aServer);
   void RemoveFromOpenList(PoolServer& aServer);
-  int FreeSlotsOf(const PoolServer& aServer) const;
+  int FreeSlotsOf(const PoolServer& aServer, TimePoint aNow) const;
   int SlotsOf(const PoolServer& aServer) const;
   int InTransitOf(const PoolServer& aServer) const;
   double DelayedStreams(const PoolServer& aServer, const Job& aJob) const;
@@ -256,6 +265,8 @@
 
   ServerPoolOptions mOptions;
   double mShare = 1; ///< Usable fraction of each server's slots, 0 to 1.
+  double mRateLimitShare = 1; ///< Usable fraction of rate limits, 0 to 1.
+  double mMeanWork = 0; ///< Moving average of WorkOf() over sent requests.
   int mQueueDepth = 0;
   ServiceSpeed mSpeed;
   /// Decaying sums over completed requests: seconds in which servers processed
--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -342,6 +342,10 @@
   std::uint32_t firstEventMicros = 0;
   std::uint32_t totalMicros = 0;
   bool serverDown = false; ///< The server refused a new connection.
+  /// The head of the answer was read. rateLimit is the requests per second that
+  /// it names as the server's limit, or negative if it names none.
+  bool hasHead = false;
+  float rateLimit = -1;
 };
 
 /// A request that a VM has sent and that has not ended.
@@ -375,6 +379,15 @@
   std::uint32_t retries = 0;
 };
 
+/// A rate limit that an answer of a server named.
+struct ServerRateLimit
+{
+  std::string server;
+  std::uint64_t started = 0; ///< Start of the server's incarnation.
+  float perSecond = 0;
+  std::uint32_t ageMillis = 0; ///< Since the answer arrived.
+};
+
 /// Sent to the coordinator periodically, so that it removes requests whose end
 /// it did not receive and accounts for decisions of other coordinators.
 struct DispatchReport
@@ -384,6 +397,8 @@
   bool complete = true; ///< All running requests are listed.
   std::vector<QuotaUsage> quotas;
   std::vector<RetryUsage> retries;
+  /// Limits that the coordinator may not have received.
+  std::vector<ServerRateLimit> rateLimits;
   std::uint32_t ageMillis = 0; ///< Since the VM's process started.
 };
 
--- a/src/fleet/dispatch_client.cpp
+++ b/src/fleet/dispatch_client.cpp
@@ -14,6 +14,19 @@
 /// tried.
 constexpr std::size_t kMaxUnresponsive = 2;
 
+/// Number of rate limits that fit into a report.
+constexpr std::size_t kMaxReportedLimits = 40;
+
+/// Reports that contain a rate limit, in case one is lost.
+constexpr int kReportsPerLimit = 2;
+
+/// Higher rate limits are treated as this one.
+constexpr double kMaxRateLimit = 1e6;
+
+/// A rate limit that was named longer ago is forgotten by the VM. If it is
+/// still in force, the server names it again.
+constexpr Duration kLimitLifetime = std::chrono::minutes(2);
+
 /// Returns the index of a name, which is appended if it is missing.
 std::uint8_t
 FindOrAdd(std::vector<std::string>& aNames, const std::string& aName)
@@ -35,6 +48,17 @@
     std::clamp<std::int64_t>(micros, 0, 0xffffffff));
 }
 
+/// Adds what the head of the answer tells about the server's rate limit.
+template<typename Dispatched>
+void
+AddHead(const Dispatched& aSent, wire::DispatchProgress& aProgress)
+{
+  aProgress.hasHead = aSent.hasHead;
+  if (aSent.rateLimit) {
+    aProgress.rateLimit = static_cast<float>(*aSent.rateLimit);
+  }
+}
+
 wire::DispatchProgress
 EndProgress(std::uint64_t aNumber, const policy::SendReport& aReport)
 {
@@ -170,9 +194,50 @@
   found->second.firstEventSeen = true;
   wire::DispatchProgress progress;
   progress.number = found->second.number;
+  AddHead(found->second, progress);
   Enqueue(found->second.coordinator, progress);
 }
 
+std::optional<policy::RateLimitNotice>
+DispatchClient::RecordRateLimit(policy::JobId aJob,
+                                std::optional<double> aPerSecond,
+                                TimePoint aNow)
+{
+  const auto found = mDispatched.find(aJob);
+  if (found == mDispatched.end()) {
+    return std::nullopt;
+  }
+  auto& sent = found->second;
+  sent.hasHead = true;
+  sent.rateLimit = aPerSecond;
+  if (sent.rateLimit) {
+    sent.rateLimit = std::min(*sent.rateLimit, kMaxRateLimit);
+  }
+  const auto known = mLimits.find(sent.server);
+  policy::RateLimitNotice notice;
+  notice.server = sent.server;
+  notice.started = mLocal.StartOf(sent.job.service, sent.server);
+  notice.perSecond = sent.rateLimit;
+  notice.at = sent.rateLimit ? aNow : sent.at;
+  if (!sent.rateLimit) {
+    if (known == mLimits.end() || notice.at <= known->second.notice.at) {
+      return std::nullopt;
+    }
+    mLimits.erase(known);
+    return notice;
+  }
+  const bool changed = known == mLimits.end() ||
+                       known->second.notice.started != notice.started ||
+                       known->second.notice.perSecond != notice.perSecond;
+  mLimits[sent.server] = { notice, kReportsPerLimit };
+  if (!changed) {
+    return std::nullopt;
+  }
+  // The coordinator must not wait for the first event of the answer.
+  mNextReport = std::min(mNextReport, aNow);
+  return notice;
+}
+
 void
 DispatchClient::RecordSilence(policy::JobId aJob)
 {
@@ -211,7 +276,11 @@
     return;
   }
   const auto& sent = found->second;
-  Enqueue(sent.coordinator, EndProgress(sent.number, aReport));
+  auto progress = EndProgress(sent.number, aReport);
+  if (!sent.firstEventSeen) {
+    AddHead(sent, progress);
+  }
+  Enqueue(sent.coordinator, progress);
   // The coordinator may be lost before it can tell the other VMs.
   mLocal.RecordOwnRun(
     { mOptions.self, sent.number }, sent.job, sent.server, aReport, aNow);
@@ -410,9 +479,38 @@
   for (const auto& [service, usage] : retries) {
     report.retries.push_back(usage);
   }
+  report.rateLimits = LimitsFor(aCoordinator, aNow);
   return report;
 }
 
+/// Returns the rate limits that a coordinator may not have received. A new one
+/// gets all of them.
+std::vector<wire::ServerRateLimit>
+DispatchClient::LimitsFor(std::uint64_t aCoordinator, TimePoint aNow)
+{
+  std::erase_if(mLimits, [&](const auto& aEntry) {
+    return aNow - aEntry.second.notice.at > kLimitLifetime;
+  });
+  std::vector<wire::ServerRateLimit> limits;
+  for (auto& [server, limit] : mLimits) {
+    if (aCoordinator != mLimitsReportedTo) {
+      limit.reportsLeft = kReportsPerLimit;
+    }
+    const auto& notice = limit.notice;
+    if (limit.reportsLeft > 0 && limits.size() < kMaxReportedLimits) {
+      limit.reportsLeft -= 1;
+      const auto age =
+        std::chrono::duration_cast<Milliseconds>(aNow - notice.at).count();
+      limits.push_back({ server,
+                         notice.started,
+                         static_cast<float>(*notice.perSecond),
+                         static_cast<std::uint32_t>(age) });
+    }
+  }
+  mLimitsReportedTo = aCoordinator;
+  return limits;
+}
+
 std::vector<DispatchMessage>
 DispatchClient::TakeMessages(TimePoint aNow)
 {
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -147,6 +147,7 @@
   mAllocator.SetShare(aSlotShare);
   mQuotas.SetShare(aQuotaShare);
   mRetries.SetShare(aQuotaShare);
+  mAllocator.SetRateLimitShare(aQuotaShare);
 }
 
 void
@@ -301,6 +302,7 @@
   const policy::JobKey key{ aVm, aProgress.number };
   constexpr auto kSilent =
     static_cast<std::uint8_t>(policy::SendResult::kSilent);
+  RecordHead(key, aProgress, aNow);
   if (!aProgress.ended && aProgress.result == kSilent) {
     mAllocator.RecordSilence(key, aNow);
     return;
@@ -329,6 +331,21 @@
   ApplyAllocations(mAllocator.Finish(key, report, aNow), aNow);
 }
 
+/// Records what the head of an answer tells about its server's rate limit.
+void
+DispatchCoordinator::RecordHead(const policy::JobKey& aKey,
+                                const wire::DispatchProgress& aProgress,
+                                TimePoint aNow)
+{
+  if (aProgress.hasHead) {
+    const bool named = aProgress.rateLimit >= 0;
+    mAllocator.RecordRateLimit(
+      aKey,
+      named ? std::optional<double>(aProgress.rateLimit) : std::nullopt,
+      aNow);
+  }
+}
+
 void
 DispatchCoordinator::Report(std::uint64_t aVm,
                             const std::string& aZone,
@@ -361,6 +378,15 @@
     ApplyAllocations(
       mAllocator.Reconcile(aVm, reported, aNow - kReportLag, aNow), aNow);
   }
+  for (const auto& limit : aReport.rateLimits) {
+    if (limit.perSecond >= 0) {
+      mAllocator.MergeRateLimit({ limit.server,
+                                  limit.started,
+                                  limit.perSecond,
+                                  aNow - Milliseconds(limit.ageMillis) },
+                                aNow);
+    }
+  }
   MergeRemoteUsage(aVm, aReport, aNow);
 }
 
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -23,6 +23,7 @@
 
   void Withdraw(policy::JobId) override { pending = nullptr; }
   void RecordFirstEvent(policy::JobId) override {}
+  void RecordRateLimit(policy::JobId, std::optional<double>) override {}
   void RecordSilence(policy::JobId) override {}
   void RecordSilenceEnd(policy::JobId) override {}
 
--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -402,6 +402,10 @@
     }
     aHead = mParams.dialect->DecodeHead(response);
     if (IsOwnAnswer(aHead)) {
+      // A limit that cannot be read says nothing, not even that there is none.
+      if (aHead.rateLimit || !aHead.namesRateLimit) {
+        mParams.dispatcher->RecordRateLimit(mJobId, aHead.rateLimit);
+      }
       co_return http::CallStatus::kDone;
     }
     mForeignAnswer = true;
--- a/src/node/dispatch_service.cpp
+++ b/src/node/dispatch_service.cpp
@@ -2,6 +2,7 @@
 #include "dispatch_service.h"
 
 #include "magnoliatide/fleet/ranking.h"
+#include "magnoliatide/telemetry/log.h"
 
 #include <boost/asio/post.hpp>
 
@@ -221,6 +222,21 @@
   ScheduleFlush();
 }
 
+void
+DispatchService::RecordRateLimit(policy::JobId aId,
+                                 std::optional<double> aPerSecond)
+{
+  const auto change = mClient.RecordRateLimit(aId, aPerSecond, Clock::now());
+  if (change) {
+    const auto limit =
+      change->perSecond ? std::to_string(*change->perSecond) : "none";
+    telemetry::LogInfo(
+      "server-limit",
+      { { "server", change->server }, { "per_second", limit } });
+    ScheduleFlush();
+  }
+}
+
 void
 DispatchService::RecordSilence(policy::JobId aId)
 {
--- a/src/node/local_dispatcher.cpp
+++ b/src/node/local_dispatcher.cpp
@@ -75,6 +75,11 @@
 {
 }
 
+void
+LocalDispatcher::RecordRateLimit(policy::JobId, std::optional<double>)
+{
+}
+
 void
 LocalDispatcher::RecordSilence(policy::JobId)
 {
--- a/src/node/local_dispatcher.h
+++ b/src/node/local_dispatcher.h
@@ -24,6 +24,8 @@
   void Submit(const policy::Job& aJob, OnDecision aOnDecision) override;
   void Withdraw(policy::JobId aId) override;
   void RecordFirstEvent(policy::JobId aId) override;
+  void RecordRateLimit(policy::JobId aId,
+                       std::optional<double> aPerSecond) override;
   void RecordSilence(policy::JobId aId) override;
   void RecordSilenceEnd(policy::JobId aId) override;
   void Finish(policy::JobId aId, const policy::SendReport& aReport) override;
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -60,6 +60,7 @@
   const auto [at, inserted] = mServices.try_emplace(aName, mOptions.pool);
   if (inserted) {
     at->second.pool.SetShare(mShare);
+    at->second.pool.SetRateLimitShare(mRateLimitShare);
   }
   return at->second;
 }
@@ -108,6 +109,41 @@
   }
 }
 
+void
+Allocator::SetRateLimitShare(double aShare)
+{
+  mRateLimitShare = aShare;
+  for (auto& [name, service] : mServices) {
+    service.pool.SetRateLimitShare(aShare);
+  }
+}
+
+void
+Allocator::MergeRateLimit(const RateLimitNotice& aNotice, TimePoint aNow)
+{
+  for (auto& [name, service] : mServices) {
+    service.pool.MergeRateLimit(aNotice, aNow);
+  }
+}
+
+void
+Allocator::RecordRateLimit(const JobKey& aKey,
+                           std::optional<double> aPerSecond,
+                           TimePoint aNow)
+{
+  auto* service = FindServiceRunning(aKey);
+  if (service == nullptr) {
+    return;
+  }
+  const auto& running = *service->pool.FindRunning(aKey);
+  RateLimitNotice notice;
+  notice.server = running.server->descriptor.id;
+  notice.started = running.serverStarted;
+  notice.perSecond = aPerSecond;
+  notice.at = aPerSecond ? aNow : running.sent;
+  service->pool.MergeRateLimit(notice, aNow);
+}
+
 Allocations
 Allocator::Submit(const JobKey& aKey,
                   const Job& aJob,
@@ -214,10 +250,8 @@
                         const SendReport& aReport,
                         TimePoint aNow)
 {
-  const auto* server = FindOrAddService(aJob.service).pool.Find(aServer);
   InterruptedRun run;
-  run.incarnation = { aServer,
-                      server != nullptr ? server->descriptor.started : 0 };
+  run.incarnation = { aServer, StartOf(aJob.service, aServer) };
   run.key = aKey;
   run.own = true;
   RecordCrashEvidence(std::move(run), aJob, aReport, aNow);
@@ -410,6 +444,13 @@
   return FindOrAddService(aJob.service).retryGate.Allows(aJob.kind);
 }
 
+std::uint64_t
+Allocator::StartOf(const std::string& aService, const std::string& aServer)
+{
+  const auto* server = FindOrAddService(aService).pool.Find(aServer);
+  return server != nullptr ? server->descriptor.started : 0;
+}
+
 std::size_t
 Allocator::Waiting() const
 {
@@ -449,7 +490,7 @@
   // Caller zones from which no free server is usable.
   std::set<std::string> busyZones;
   std::size_t scanned = 0;
-  int free = aService.pool.FreeSlots();
+  int free = aService.pool.FreeSlots(aNow);
   for (const auto& [position, waiting] : aService.backlog.InOrder()) {
     if (free <= 0 || ++scanned > kMaxScannedPerPass) {
       break;
@@ -567,7 +608,7 @@
     best.server != nullptr && best.inTime &&
     !IsTrialRunning(service, TraitsOf(aWaiting.job), aPass.now) &&
     service.backlog.empty() &&
-    service.pool.FreeSlots() >=
+    service.pool.FreeSlots(aPass.now) >=
       kMinFreeFractionForOverQuota * service.pool.Slots();
   if (spare) {
     Send(service, aWaiting, best, aPass.now, aPass.out);
--- a/src/policy/server_pool.cpp
+++ b/src/policy/server_pool.cpp
@@ -63,6 +63,9 @@
 /// Weight of the newest result in the failure rate of a kind.
 constexpr double kFailureSampleWeight = 0.05;
 
+/// Weight of the newest request in the mean work.
+constexpr double kWorkSampleWeight = 0.02;
+
 constexpr int kSamplesPerMedianUpdate = 8;
 
 bool
@@ -82,7 +85,9 @@
   } else if (entry->descriptor.started != aServer.started) {
     entry->healthByZone.clear();
     entry->speed = ServerSpeed();
+    entry->rateLimit = ServerRateLimit();
   }
+  entry->rateLimit.SetShare(mRateLimitShare);
   entry->descriptor = aServer;
   mCapacities.clear();
   UpdateOpenList(*entry);
@@ -126,6 +131,28 @@
   }
 }
 
+void
+ServerPool::SetRateLimitShare(double aShare)
+{
+  if (aShare == mRateLimitShare) {
+    return;
+  }
+  mRateLimitShare = aShare;
+  mCapacities.clear();
+  for (auto& [id, server] : mServers) {
+    server->rateLimit.SetShare(aShare);
+  }
+}
+
+void
+ServerPool::MergeRateLimit(const RateLimitNotice& aNotice, TimePoint aNow)
+{
+  auto* server = Find(aNotice.server);
+  if (server != nullptr && server->descriptor.started == aNotice.started) {
+    server->rateLimit.Merge(aNotice, aNow);
+  }
+}
+
 void
 ServerPool::RemoveMissing(const routing::Roster& aRoster)
 {
@@ -158,6 +185,10 @@
   aRunning.serverStarted = aServer.descriptor.started;
   aRunning.prefillTokens =
     aServer.pendingPrefillTokens + aRunning.job.promptTokens;
+  aServer.rateLimit.RecordSend(aRunning.sent);
+  const double work = WorkOf(aRunning.job);
+  mMeanWork =
+    mMeanWork > 0 ? mMeanWork + kWorkSampleWeight * (work - mMeanWork) : work;
   const auto key = aRunning.key;
   auto& running = mRunning[key] = std::move(aRunning);
   if (!running.firstEventSeen) {
@@ -430,19 +461,25 @@
   return std::max(1, static_cast<int>(aServer.descriptor.slots * mShare));
 }
 
+/// Returns how many more requests a server may be sent now; not positive if
+/// there are none.
 int
-ServerPool::FreeSlotsOf(const PoolServer& aServer) const
+ServerPool::FreeSlotsOf(const PoolServer& aServer, TimePoint aNow) const
 {
-  return SlotsOf(aServer) + InTransitOf(aServer) + mQueueDepth -
-         static_cast<int>(aServer.running.size());
+  const int free = SlotsOf(aServer) + InTransitOf(aServer) + mQueueDepth -
+                   static_cast<int>(aServer.running.size());
+  if (!aServer.rateLimit.IsActive()) {
+    return free;
+  }
+  return aServer.rateLimit.Allows(aNow) ? std::min(free, 1) : 0;
 }
 
 int
-ServerPool::FreeSlots() const
+ServerPool::FreeSlots(TimePoint aNow) const
 {
   int free = 0;
   for (const auto* server : mOpenServers) {
-    free += std::max(0, FreeSlotsOf(*server));
+    free += std::max(0, FreeSlotsOf(*server, aNow));
   }
   return free;
 }
@@ -466,7 +503,8 @@
   Forecast probe;
   double lowestScore = std::numeric_limits<double>::max();
   for (auto* server : mOpenServers) {
-    if (FreeSlotsOf(*server) <= 0 || !IsEligible(*server, aJob, aZone, aNow)) {
+    if (FreeSlotsOf(*server, aNow) <= 0 ||
+        !IsEligible(*server, aJob, aZone, aNow)) {
       continue;
     }
     const auto forecast = Predict(*server, aJob, aZone, aNow);
@@ -497,7 +535,8 @@
 {
   Forecast emptiest;
   for (auto* server : mOpenServers) {
-    if (FreeSlotsOf(*server) <= 0 || !IsEligible(*server, aJob, aZone, aNow)) {
+    if (FreeSlotsOf(*server, aNow) <= 0 ||
+        !IsEligible(*server, aJob, aZone, aNow)) {
       continue;
     }
     const auto forecast = Predict(*server, aJob, aZone, aNow);
@@ -527,7 +566,7 @@
   for (auto* server : mOpenServers) {
     const bool emptier = best.server == nullptr ||
                          server->running.size() < best.server->running.size();
-    if (FreeSlotsOf(*server) > 0 && emptier) {
+    if (FreeSlotsOf(*server, aNow) > 0 && emptier) {
       best = Predict(*server, aJob, aZone, aNow);
       best.probe = true;
     }
@@ -624,7 +663,7 @@
   releases.reserve(mRunning.size());
   for (const auto& [key, running] : mRunning) {
     auto& server = *running.server;
-    if (server.descriptor.leaving) {
+    if (server.descriptor.leaving || server.rateLimit.IsActive()) {
       continue;
     }
     const double total = mSpeed.FactorOf(server.speed) * WorkOf(running.job);
@@ -677,7 +716,9 @@
       !server->descriptor.leaving &&
       HealthSeenFrom(*server, aZone, aNow) == HealthState::kGood;
     if (usable) {
-      capacity += SlotsOf(*server) / mSpeed.FactorOf(server->speed);
+      const double slots = SlotsOf(*server) / mSpeed.FactorOf(server->speed);
+      const auto rate = server->rateLimit.Rate();
+      capacity += rate ? std::min(slots, *rate * mMeanWork) : slots;
     }
   }
   capacity = std::max(capacity, kMinCapacity);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -171,7 +171,7 @@
   } else if constexpr (kIs<T, DispatchProgress>) {
     Each(aVisit, aV.number, aV.ended, aV.result, aV.outputTokens);
     Each(aVisit, aV.laterTokens, aV.firstEventMicros, aV.totalMicros);
-    Each(aVisit, aV.serverDown);
+    Each(aVisit, aV.serverDown, aV.hasHead, aV.rateLimit);
   } else if constexpr (kIs<T, RunningRequest>) {
     Each(aVisit, aV.number, aV.service, aV.server, aV.promptTokens);
     Each(aVisit, aV.outputTokens, aV.gapTargetMillis, aV.ageMillis, aV.stream);
@@ -180,9 +180,11 @@
     Each(aVisit, aV.team, aV.units);
   } else if constexpr (kIs<T, RetryUsage>) {
     Each(aVisit, aV.service, aV.requests, aV.retries);
+  } else if constexpr (kIs<T, ServerRateLimit>) {
+    Each(aVisit, aV.server, aV.started, aV.perSecond, aV.ageMillis);
   } else if constexpr (kIs<T, DispatchReport>) {
     Each(aVisit, aV.names, aV.running, aV.complete, aV.quotas, aV.retries);
-    Each(aVisit, aV.ageMillis);
+    Each(aVisit, aV.rateLimits, aV.ageMillis);
   } else if constexpr (kIs<T, ReplicaItem>) {
     Each(aVisit, aV.key, aV.value, aV.revision, aV.removed);
   } else if constexpr (kIs<T, ReplicaUpdate>) {
