Refuse late streams that a planned stop would cut off

What callers could see: a stream whose request came late in a planned stop was passed on to a server, and cut off when the time of the stop was over (LOST).

Cause: whatever was read before the end of the stop was sent to a server, without regard to the time that was left.

Change: from the moment at which a stopping VM accepts no more connections, a stream whose deadline is after the end of the stop, and a call that arrives in the last second, are refused as not run, with a Retry-After of 0.1 s, so that another VM serves them. Other calls are served as before.

--- a/include/magnoliatide/forward/call.h
+++ b/include/magnoliatide/forward/call.h
@@ -89,6 +89,7 @@
   kOverloaded, ///< It could not be served in time.
   kExpired,    ///< Its deadline passed before it was sent.
   kHarmful,    ///< It is suspected of crashing the servers that ran it.
+  kStopping,   ///< The VM stops and could not let it run to its end.
   kNotAServer, ///< A VM took this VM for a server, by an odd entry.
   kLost,       ///< It may have run; no complete answer arrived.
   kTimedOut,   ///< It may have run; its deadline passed.
--- a/include/magnoliatide/forward/forwarder.h
+++ b/include/magnoliatide/forward/forwarder.h
@@ -58,6 +58,11 @@
   explicit Forwarder(ForwarderParams aParams);
   ~Forwarder();
 
+  /// Refuses further requests that may not end before EndAll() is called.
+  ///
+  /// @param aEnd When that will be.
+  void BeginStop(TimePoint aEnd);
+
   /// Serves one request of a caller.
   boost::asio::awaitable<void> Handle(http::Exchange& aExchange);
 
--- a/src/forward/call.cpp
+++ b/src/forward/call.cpp
@@ -25,6 +25,8 @@
       return "expired";
     case RefusalKind::kHarmful:
       return "harmful";
+    case RefusalKind::kStopping:
+      return "stopping";
     case RefusalKind::kNotAServer:
       return "not-a-server";
     case RefusalKind::kLost:
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -24,6 +24,12 @@
 /// A host that is up refuses a connection to a crashed server at once.
 constexpr Duration kDownCheckTimeout = Milliseconds(100);
 
+/// Time that a call must have before the VM stops.
+constexpr Duration kMinCallTime = Seconds(1);
+
+/// Other VMs can take a request at once.
+constexpr Duration kStoppingRetryAfter = Milliseconds(100);
+
 constexpr char kDeadlinePassed[] =
   "the deadline passed while the request waited";
 
@@ -99,10 +105,13 @@
   void EndAll();
   void CountRequestEnd(const Request& aRequest, const char* aOutcome);
   std::optional<Refusal> RefuseAsServer(const Call& aCall) const;
+  std::optional<Refusal> RefuseAsStopping(const Request& aRequest,
+                                          TimePoint aNow) const;
   void LogRefusal(const Request& aRequest, const Refusal& aRefusal) const;
 
   ForwarderParams params;
   std::uint64_t lastId = 0;
+  std::optional<TimePoint> stopEnd;  ///< Set while the VM stops.
   std::set<RequestPointer> requests; ///< In progress.
 };
 
@@ -121,6 +130,25 @@
   return refusal;
 }
 
+/// Refuses a request that this VM might have to cut off because it stops, so
+/// that its caller can send it to another VM. A call that has some time left is
+/// served: calls are short, and their deadlines are far beyond their ends.
+std::optional<Refusal>
+Forwarder::Core::RefuseAsStopping(const Request& aRequest, TimePoint aNow) const
+{
+  if (!stopEnd || aRequest.job.deadline <= *stopEnd) {
+    return std::nullopt;
+  }
+  if (!aRequest.route->stream && *stopEnd - aNow >= kMinCallTime) {
+    return std::nullopt;
+  }
+  Refusal refusal;
+  refusal.kind = RefusalKind::kStopping;
+  refusal.message = "this VM stops; send the request again";
+  refusal.retryAfter = kStoppingRetryAfter;
+  return refusal;
+}
+
 asio::awaitable<void>
 Forwarder::Core::Handle(http::Exchange& aExchange)
 {
@@ -133,6 +161,9 @@
   if (!refusal) {
     refusal = Classify(*request, now);
   }
+  if (!refusal) {
+    refusal = RefuseAsStopping(*request, now);
+  }
   if (refusal) {
     co_await Refuse(request, std::move(*refusal));
     co_return;
@@ -445,6 +476,12 @@
   co_await mCore->Handle(aExchange);
 }
 
+void
+Forwarder::BeginStop(TimePoint aEnd)
+{
+  mCore->stopEnd = aEnd;
+}
+
 void
 Forwarder::EndAll()
 {
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -516,6 +516,7 @@
     mDraining.store(true);
     mCallerServer->CloseAfterResponses();
     std::this_thread::sleep_for(kDrainDelay);
+    asio::post(mLoop, [this, drainEnd] { mForwarder.BeginStop(drainEnd); });
     mCallerServer->Drain();
     AwaitDrained(drainEnd);
     if (!mCallerServer->Drained()) {
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -605,6 +605,37 @@
   EXPECT_EQ(RunsOf(mFleet), 1u);
 }
 
+// Guards against a stream that arrives late in a planned stop, is sent to a
+// server, and is cut off when the time of the stop is over.
+TEST_F(Platform, APlannedStopTakesNoLateStreamThatItWouldCut)
+{
+  auto slow = Engine("i-1");
+  slow.events = 700;
+  slow.eventInterval = Milliseconds(20);
+  mFleet.AddEngine(slow);
+  RouteConfig route;
+  route.timeoutMillis = 20000;
+  route.targetMillis = 20000;
+  mFleet.Publish({ route }, { TeamConfig() });
+  ASSERT_TRUE(mFleet.Start());
+  mFleet.Vms()[0].process.Signal(SIGTERM);
+  std::this_thread::sleep_for(Milliseconds(2300));
+  const auto answer =
+    mFleet.SendInTwo(0,
+                     "POST /quotes/1 HTTP/1.1\r\n"
+                     "Host: shop.example\r\n"
+                     "Attempt-Id: 00000000000000a3\r\n"
+                     "Deadline-Ms: 20000\r\n"
+                     "Authorization: Token key-of-planners\r\n"
+                     "Content-Length: 4\r\n\r\nab",
+                     "cd",
+                     Milliseconds(1000));
+  EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 503") << answer;
+  EXPECT_NE(answer.find("Retry-After"), std::string::npos) << answer;
+  EXPECT_EQ(RunsOf(mFleet), 0u);
+  EXPECT_TRUE(mFleet.Vms()[0].process.Wait(Seconds(8)));
+}
+
 // Guards against a request with an unusual method and a body, which the client
 // for servers could not send: its caller got no answer, and its place at the
 // server stayed taken.
