Add load tests of prompts that crash servers

The load model gets shared prompt parts and one that crashes each server that begins to answer, which comes back after 3 s as a new incarnation.

--- a/src/policy/testing/load_model.cpp
+++ b/src/policy/testing/load_model.cpp
@@ -18,6 +18,12 @@
 
 constexpr std::uint64_t kVm = 1;
 
+/// How long a server is down after a crash by kDeadlyPart.
+constexpr Duration kDownTime = Seconds(3);
+
+/// Servers that a caller with kDeadlyPart tries.
+constexpr std::size_t kDeadlyAttempts = 2;
+
 } // namespace
 
 LoadModel::LoadModel(std::uint64_t aSeed)
@@ -114,7 +120,7 @@
 {
   std::exponential_distribution<double> pause(aTraffic.perSecond);
   const TimePoint next = mNow + FromSeconds(pause(mRandom));
-  if (next - TimePoint(Seconds(1000)) > aTraffic.until) {
+  if (next - kStart > aTraffic.until) {
     return;
   }
   Schedule(next, [this, &aTraffic] {
@@ -152,6 +158,12 @@
   job.gapTarget = Milliseconds(300);
   job.deadline = mNow + aTraffic.deadline;
   job.fingerprint = mRandom();
+  if (aTraffic.firstParts > 0) {
+    job.sharedParts.push_back(1 + mRandom() % aTraffic.firstParts);
+  }
+  if (aTraffic.deadly) {
+    job.sharedParts.push_back(kDeadlyPart);
+  }
   OutcomeFor(caller, 0).submitted += 1;
   OutcomeFor(caller, 1).submitted += 1;
   Submit(std::move(caller));
@@ -209,6 +221,8 @@
     auto& outcome = OutcomeFor(aCaller, i);
     outcome.rejectedOnce += aCaller.wasRejected ? 0 : 1;
     outcome.waitedSeconds += ToSeconds(mNow - aCaller.submitted);
+    outcome.rejectedAsHarmful +=
+      aAllocation.reason == RejectReason::kHarmful ? 1 : 0;
   }
   aCaller.wasRejected = true;
   const TimePoint end = aCaller.first + aCaller.traffic->deadline;
@@ -249,6 +263,8 @@
 LoadModel::StartRun(Engine& aEngine, JobId aId)
 {
   const auto& job = mCallers.at(aId).job;
+  const bool deadly = mCallers.at(aId).traffic->deadly;
+  mDeadlyArrivals += deadly ? 1 : 0;
   aEngine.busy += 1;
   aEngine.running.push_back(aId);
   TimePoint first;
@@ -270,6 +286,10 @@
                                RandomSize(plain * kMillis, 0.5) / kMillis);
     end = first;
   }
+  if (deadly) {
+    Schedule(first, [this, &aEngine, aId] { CrashByPart(aEngine, aId); });
+    return;
+  }
   Schedule(first + mNetworkDelay, [this, aId] {
     if (mCallers.count(aId) > 0) {
       mFirstEventAt[aId] = mNow;
@@ -302,6 +322,26 @@
   }
 }
 
+/// Crashes the engine that begins to answer a request, unless the request does
+/// not run there any more, and restarts it later as a new incarnation.
+void
+LoadModel::CrashByPart(Engine& aEngine, JobId aId)
+{
+  const auto& running = aEngine.running;
+  if (std::find(running.begin(), running.end(), aId) == running.end()) {
+    return;
+  }
+  mPartCrashes += 1;
+  aEngine.up = false;
+  Crash(aEngine);
+  Schedule(mNow + kDownTime, [this, &aEngine] {
+    aEngine.up = true;
+    aEngine.prefillFree = mNow;
+    aEngine.descriptor.started += 1;
+    PublishServers();
+  });
+}
+
 void
 LoadModel::Crash(Engine& aEngine)
 {
@@ -324,6 +364,7 @@
   SendReport report;
   report.result = aResult;
   report.toEnd = aRun;
+  report.serverDown = aResult == SendResult::kCut && !aEngine.up;
   const auto first = mFirstEventAt.find(aId);
   if (first != mFirstEventAt.end()) {
     report.toFirstEvent = first->second - mNetworkDelay - mArrivedAt[aId];
@@ -340,7 +381,9 @@
   mFirstEventAt.erase(aId);
   mArrivedAt.erase(aId);
   Apply(mAllocator.Finish({ kVm, aId }, report, mNow));
-  if (aResult != SendResult::kWhole) {
+  const bool givesUp = caller.traffic->deadly &&
+                       caller.job.excludedServers.size() + 1 >= kDeadlyAttempts;
+  if (aResult != SendResult::kWhole && !givesUp) {
     // The VM that accepted the request tries another server.
     caller.job.excludedServers.push_back(aEngine.descriptor.id);
     caller.tries -= 1;
--- a/src/policy/testing/load_model.h
+++ b/src/policy/testing/load_model.h
@@ -37,8 +37,16 @@
   /// Mean time of a plain (not streamed) call at a server of factor 1; zero for
   /// streams.
   Duration plainTime{};
+  /// Number of different first parts of the prompts; zero for none.
+  std::uint64_t firstParts = 0;
+  /// The prompts have kDeadlyPart, which crashes each server that begins to
+  /// answer. Such callers try one more server.
+  bool deadly = false;
 };
 
+/// Id of a prompt part, beyond those of first parts.
+constexpr std::uint64_t kDeadlyPart = 0xdead;
+
 /// A group of identical servers.
 struct EngineGroup
 {
@@ -54,10 +62,11 @@
   int submitted = 0;
   int inTime = 0; ///< First event within the target.
   int late = 0;
-  int rejectedOnce = 0;     ///< Whose first attempt was rejected.
-  int rejected = 0;         ///< Never served.
-  int rejectedAgain = 0;    ///< Those of them that were retried.
-  double waitedSeconds = 0; ///< Total time in the queue before rejections.
+  int rejectedOnce = 0;      ///< Whose first attempt was rejected.
+  int rejected = 0;          ///< Never served.
+  int rejectedAgain = 0;     ///< Those of them that were retried.
+  int rejectedAsHarmful = 0; ///< Rejections for this reason.
+  double waitedSeconds = 0;  ///< Total time in the queue before rejections.
 
   /// Returns a count as a share of the submitted requests.
   double Share(int aCount) const
@@ -82,6 +91,12 @@
   /// Crashes or restarts a server at a time from now.
   void SetServerUp(const std::string& aServer, bool aUp, Duration aAt);
 
+  /// Returns how often servers have crashed because of kDeadlyPart.
+  int PartCrashes() const { return mPartCrashes; }
+
+  /// Returns how many requests with kDeadlyPart have reached servers.
+  int DeadlyArrivals() const { return mDeadlyArrivals; }
+
   /// Continues the simulation for a span of time.
   void Run(Duration aTime);
 
@@ -128,6 +143,8 @@
     std::vector<JobId> running;
   };
 
+  static constexpr TimePoint kStart = TimePoint(Seconds(1000));
+
   struct Event
   {
     TimePoint at;
@@ -150,6 +167,7 @@
   void End(Engine& aEngine, JobId aId, SendResult aResult, Duration aRun);
   void ReleaseSlot(Engine& aEngine);
   void Crash(Engine& aEngine);
+  void CrashByPart(Engine& aEngine, JobId aId);
   void Reject(Caller aCaller, const Allocation& aAllocation);
   /// Returns the outcome of a caller's kind (index 0) or team (index 1).
   Outcome& OutcomeFor(const Caller& aCaller, int aIndex);
@@ -158,7 +176,7 @@
 
   std::mt19937_64 mRandom;
   Allocator mAllocator;
-  TimePoint mNow = TimePoint(Seconds(1000));
+  TimePoint mNow = kStart;
   Duration mNetworkDelay = Milliseconds(1);
   std::priority_queue<Event, std::vector<Event>, std::greater<>> mEvents;
   std::uint64_t mLastEventOrder = 0;
@@ -173,6 +191,8 @@
   bool mTickScheduled = false; ///< Whether an event for a tick is pending.
   int mRejectedWithFreeSlots = 0;
   std::uint64_t mDecisions = 0;
+  int mPartCrashes = 0;
+  int mDeadlyArrivals = 0;
 };
 
 } // namespace magnoliatide::policy::testing
