--- a/src/policy/testing/load_model.cpp
+++ b/src/policy/testing/load_model.cpp
@@ -82,6 +82,17 @@
   });
 }
 
+void
+LoadModel::SetRateLimit(const std::string& aServer,
+                        std::optional<double> aPerSecond,
+                        Duration aAt)
+{
+  Schedule(mNow + aAt, [this, aServer, aPerSecond] {
+    const auto started = mEngines.at(aServer).descriptor.started;
+    mAllocator.MergeRateLimit({ aServer, started, aPerSecond, mNow }, mNow);
+  });
+}
+
 void
 LoadModel::Schedule(TimePoint aTime, std::function<void()> aAction)
 {
@@ -248,6 +259,7 @@
 {
   auto& engine = mEngines.at(aServer);
   mArrivedAt[aId] = mNow;
+  engine.arrivals.push_back(mNow);
   if (!engine.up) {
     End(engine, aId, SendResult::kNotSent, Duration::zero());
     return;
--- a/src/policy/testing/load_model.h
+++ b/src/policy/testing/load_model.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
@@ -91,6 +92,20 @@
   /// Crashes or restarts a server at a time from now.
   void SetServerUp(const std::string& aServer, bool aUp, Duration aAt);
 
+  /// Names a rate limit of a server, or none, at a time from now.
+  void SetRateLimit(const std::string& aServer,
+                    std::optional<double> aPerSecond,
+                    Duration aAt);
+
+  /// Returns the times at which requests arrived at a server.
+  const std::vector<TimePoint>& ArrivalsAt(const std::string& aServer)
+  {
+    return mEngines.at(aServer).arrivals;
+  }
+
+  /// Returns the time from the start of the simulation to a time.
+  static Duration SinceStart(TimePoint aTime) { return aTime - kStart; }
+
   /// Returns how often servers have crashed because of kDeadlyPart.
   int PartCrashes() const { return mPartCrashes; }
 
@@ -141,6 +156,7 @@
     TimePoint prefillFree{}; ///< When all its prompts are processed.
     std::deque<JobId> queue;
     std::vector<JobId> running;
+    std::vector<TimePoint> arrivals;
   };
 
   static constexpr TimePoint kStart = TimePoint(Seconds(1000));
