Blame a part only after a crash in a trial

Found by reading and shown by a load test: when several servers crash at the same moment for another reason, a part that many requests have may be among the unbegun ones at three of them.

Cause: the count alone decided. A harmful part also crashes a server when it is tried again; a sound one does not.

Change: the allocator marks runs that it sends in spite of a suspicion as trials, and a trait is harmful only if one of its crashes was in a trial. The mark goes with the grant to the VM and with its report to all others.

Measured: HarmfulPartLoad.CrashesOfManyServersAtOnceMakeNothingHarmful failed before and passes. The other load tests, the properties and both process tests pass; the second of those, new, kills the VM that decides.

--- a/include/magnoliatide/fleet/dispatch_client.h
+++ b/include/magnoliatide/fleet/dispatch_client.h
@@ -142,6 +142,7 @@
     std::uint64_t number = 0;
     std::uint64_t coordinator = 0;
     std::string server;
+    bool trial = false; ///< As in wire::DispatchReply.
     TimePoint at;
     bool firstEventSeen = false;     ///< The first event was received.
     bool hasHead = false;            ///< The head of the answer was read.
--- a/include/magnoliatide/fleet/dispatch_coordinator.h
+++ b/include/magnoliatide/fleet/dispatch_coordinator.h
@@ -92,6 +92,7 @@
   void RecordOwnRun(const policy::JobKey& aKey,
                     const policy::Job& aJob,
                     const std::string& aServer,
+                    bool aTrial,
                     const policy::SendReport& aReport,
                     TimePoint aNow);
 
--- a/include/magnoliatide/policy/allocator.h
+++ b/include/magnoliatide/policy/allocator.h
@@ -35,6 +35,7 @@
   bool send = false;
   std::string server; ///< The chosen server's id.
   bool probe = false; ///< The request probes an unhealthy server.
+  bool trial = false; ///< As in CrashSuspect.
   RejectReason reason = RejectReason::kNoServer;
   Duration retryAfter{}; ///< If rejected: recommended delay before a retry.
   std::string why;       ///< Explanation for the log.
@@ -136,9 +137,12 @@
 
   /// Records what the end of a run of this VM tells about crashes of its
   /// server, whichever allocator sent it.
+  ///
+  /// @param aTrial As in Allocation.
   void RecordOwnRun(const JobKey& aKey,
                     const Job& aJob,
                     const std::string& aServer,
+                    bool aTrial,
                     const SendReport& aReport,
                     TimePoint aNow);
 
--- a/include/magnoliatide/policy/crash_suspects.h
+++ b/include/magnoliatide/policy/crash_suspects.h
@@ -2,9 +2,10 @@
 // in common, such as a part of their prompts, is called a trait. The traits of
 // the requests that had not begun their answers when a server crashed are
 // suspected. A trait is cleared when an answer to a request with it begins at a
-// server that stays up, and is harmful after a number of crashes that no other
-// trait explains. Used by the Allocator; SuspectTable is the counterpart for
-// the Scheduler.
+// server that stays up. It is harmful after a number of crashes that no other
+// trait explains, at least one of them in a trial: servers may also crash
+// together for another reason. Used by the Allocator; SuspectTable is the
+// counterpart for the Scheduler.
 #ifndef MAGNOLIATIDE_POLICY_CRASH_SUSPECTS_H
 #define MAGNOLIATIDE_POLICY_CRASH_SUSPECTS_H
 
@@ -42,6 +43,18 @@
   }
 };
 
+/// A trait that is suspected of a crash.
+struct CrashSuspect
+{
+  Trait trait = 0;
+  /// The run was sent when a trait of its request was suspected already, alone
+  /// of those with that trait. Without one such run, servers may have crashed
+  /// together for another reason.
+  bool trial = false;
+
+  bool operator==(const CrashSuspect&) const = default;
+};
+
 /// A run that ended because the connection to its server was lost.
 struct InterruptedRun
 {
@@ -49,6 +62,7 @@
   JobKey key;
   /// The request's traits; empty if its answer had begun before.
   std::vector<Trait> traits;
+  bool trial = false; ///< As in CrashSuspect.
   /// Whether this VM ran it. Each VM tells the others about its own runs.
   bool own = false;
 };
@@ -59,8 +73,8 @@
   ServerIncarnation incarnation;
   /// Tells crashes apart while the incarnation in the roster is outdated.
   std::uint32_t ordinal = 0;
-  /// Traits of the reporting VM's runs.
-  std::vector<Trait> suspects;
+  /// From the reporting VM's runs.
+  std::vector<CrashSuspect> suspects;
 };
 
 /// What is known of a request's traits.
@@ -77,7 +91,8 @@
 class CrashSuspects
 {
 public:
-  /// Number of crashes at which a trait is considered harmful.
+  /// Number of crashes, one of them in a trial, at which a trait is considered
+  /// harmful.
   static constexpr int kHarmfulCrashCount = 3;
 
   /// Records an interrupted run. Two of them at one server at nearly the same
@@ -148,8 +163,9 @@
 
   struct Crash
   {
-    std::set<Trait> suspects;
-    std::set<Trait> own; ///< Suspects of this VM's runs.
+    /// By trait: whether a trial is among the runs with it.
+    std::map<Trait, bool> suspects;
+    std::map<Trait, bool> own; ///< Suspects of this VM's runs.
     TimePoint at;
   };
 
@@ -159,7 +175,7 @@
   const CrashKey* FindRecentCrash(const ServerIncarnation& aIncarnation,
                                   TimePoint aNow) const;
   void AttributeRun(const CrashKey& aKey, const InterruptedRun& aRun);
-  void AddSuspects(const CrashKey& aKey, const std::vector<Trait>& aTraits);
+  void AddSuspect(const CrashKey& aKey, const CrashSuspect& aSuspect);
   bool Clear(Trait aTrait, TimePoint aUpTo);
   const std::set<CrashKey>* CrashesOf(Trait aTrait, TimePoint aNow) const;
   bool IsExplained(Trait aTrait, const std::vector<Trait>& aTraits) const;
--- a/include/magnoliatide/policy/server_pool.h
+++ b/include/magnoliatide/policy/server_pool.h
@@ -32,6 +32,7 @@
   PoolServer* server = nullptr; ///< Never null in a pool.
   /// Start of the server's incarnation that it was sent to.
   std::uint64_t serverStarted = 0;
+  bool trial = false; ///< As in CrashSuspect.
   TimePoint sent;
   bool firstEventSeen = false; ///< The first event has arrived.
   double prefillTokens = 0; ///< Its own prompt and pending prompts ahead of it.
--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -57,7 +57,7 @@
   kBackendState, ///< Key "name@address"; value "leaving" or "serving".
   kSuspect,      ///< Key: a request fingerprint; value: a suspect level.
   /// Key: a crash of a server and the VM that reports it; value: the traits of
-  /// the interrupted requests.
+  /// the interrupted requests, with "!" after those that were run in a trial.
   kCrash,
   kCleared, ///< Key: a trait that does not crash servers; no value.
 };
@@ -319,6 +319,7 @@
   std::string server; ///< For kSend.
   /// The request probes the server, so no pooled connection may be used.
   bool probe = false;
+  bool trial = false; ///< It was sent although suspected of crashing servers.
   std::uint32_t retryAfterMillis = 0;
   std::string why; ///< Reason of the decision, for the log.
 };
--- a/src/fleet/crash_rumours.cpp
+++ b/src/fleet/crash_rumours.cpp
@@ -13,6 +13,8 @@
 
 constexpr char kKeySeparator = ' ';
 constexpr char kValueSeparator = ',';
+/// Follows a trait that was run in a trial.
+constexpr char kTrialMark = '!';
 
 /// Removes and returns the text before the next separator.
 std::string_view
@@ -36,11 +38,14 @@
                ToHex(aRecord.incarnation.started) + kKeySeparator +
                ToHex(aRecord.ordinal) + kKeySeparator +
                aRecord.incarnation.server;
-  for (const auto trait : aRecord.suspects) {
+  for (const auto& suspect : aRecord.suspects) {
     if (!rumour.value.empty()) {
       rumour.value += kValueSeparator;
     }
-    rumour.value += ToHex(trait);
+    rumour.value += ToHex(suspect.trait);
+    if (suspect.trial) {
+      rumour.value += kTrialMark;
+    }
   }
   return rumour;
 }
@@ -57,7 +62,10 @@
   record.incarnation.server = std::string(key);
   std::string_view value = aRumour.value;
   while (!value.empty()) {
-    record.suspects.push_back(FromHex(TakeField(value, kValueSeparator)));
+    auto field = TakeField(value, kValueSeparator);
+    const bool trial = field.ends_with(kTrialMark);
+    field.remove_suffix(trial ? 1 : 0);
+    record.suspects.push_back({ FromHex(field), trial });
   }
   const bool valid =
     !record.incarnation.server.empty() && !record.suspects.empty();
--- a/src/fleet/dispatch_client.cpp
+++ b/src/fleet/dispatch_client.cpp
@@ -282,8 +282,12 @@
   }
   Enqueue(sent.coordinator, progress);
   // The coordinator may be lost before it can tell the other VMs.
-  mLocal.RecordOwnRun(
-    { mOptions.self, sent.number }, sent.job, sent.server, aReport, aNow);
+  mLocal.RecordOwnRun({ mOptions.self, sent.number },
+                      sent.job,
+                      sent.server,
+                      sent.trial,
+                      aReport,
+                      aNow);
   if (sent.coordinator != mOptions.self) {
     mLocal.Learn(sent.job, mOptions.zone, sent.server, aReport, aNow);
   }
@@ -331,6 +335,7 @@
     sent.number = decided.number;
     sent.coordinator = aFrom;
     sent.server = aReply.server;
+    sent.trial = aReply.trial;
     sent.at = aNow;
     mDispatched[decided.job.id] = std::move(sent);
   }
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -55,6 +55,7 @@
   reply.number = aAllocation.key.job;
   reply.server = aAllocation.server;
   reply.probe = aAllocation.probe;
+  reply.trial = aAllocation.trial;
   reply.retryAfterMillis = ToMillis(aAllocation.retryAfter);
   reply.why = aAllocation.why;
   reply.decision = aAllocation.send ? wire::DispatchDecision::kSend
@@ -491,10 +492,11 @@
 DispatchCoordinator::RecordOwnRun(const policy::JobKey& aKey,
                                   const policy::Job& aJob,
                                   const std::string& aServer,
+                                  bool aTrial,
                                   const policy::SendReport& aReport,
                                   TimePoint aNow)
 {
-  mAllocator.RecordOwnRun(aKey, aJob, aServer, aReport, aNow);
+  mAllocator.RecordOwnRun(aKey, aJob, aServer, aTrial, aReport, aNow);
 }
 
 std::vector<AddressedReply>
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -233,6 +233,7 @@
   InterruptedRun run;
   run.incarnation = { running.server->descriptor.id, running.serverStarted };
   run.key = aKey;
+  run.trial = running.trial;
   RecordCrashEvidence(std::move(run), running.job, aReport, aNow);
   UpdateEstimates(*service, running, aReport, aNow);
   if (aReport.result == SendResult::kWhole) {
@@ -247,10 +248,12 @@
 Allocator::RecordOwnRun(const JobKey& aKey,
                         const Job& aJob,
                         const std::string& aServer,
+                        bool aTrial,
                         const SendReport& aReport,
                         TimePoint aNow)
 {
   InterruptedRun run;
+  run.trial = aTrial;
   run.incarnation = { aServer, StartOf(aJob.service, aServer) };
   run.key = aKey;
   run.own = true;
@@ -638,13 +641,17 @@
   allocation.send = true;
   allocation.server = server.descriptor.id;
   allocation.probe = aForecast.probe;
+  allocation.trial =
+    !mSuspects.Empty() &&
+    mSuspects.StandingOf(TraitsOf(aWaiting.job), aNow) != CrashStanding::kNone;
   allocation.why =
     "first event in " + FormatMilliseconds(aForecast.toFirst) +
     " ms, running there: " + std::to_string(server.running.size()) +
-    (aForecast.probe ? ", probe" : "");
+    (aForecast.probe ? ", probe" : "") + (allocation.trial ? ", trial" : "");
+  RunningJob running;
+  running.trial = allocation.trial;
   aOut.push_back(std::move(allocation));
   aService.backlog.RecordSent(aWaiting);
-  RunningJob running;
   running.key = aWaiting.key;
   running.job = aWaiting.job;
   running.zone = aWaiting.zone;
--- a/src/policy/crash_suspects.cpp
+++ b/src/policy/crash_suspects.cpp
@@ -165,31 +165,35 @@
 void
 CrashSuspects::AttributeRun(const CrashKey& aKey, const InterruptedRun& aRun)
 {
-  AddSuspects(aKey, aRun.traits);
+  for (const auto trait : aRun.traits) {
+    AddSuspect(aKey, { trait, aRun.trial });
+  }
   if (!aRun.own || aRun.traits.empty()) {
     return;
   }
   auto& own = mCrashes[aKey].own;
-  own.insert(aRun.traits.begin(), aRun.traits.end());
+  for (const auto trait : aRun.traits) {
+    own[trait] |= aRun.trial;
+  }
   std::erase_if(mNewCrashes, [&](const auto& aRecord) {
     return aRecord.ordinal == aKey.ordinal &&
            !(aRecord.incarnation < aKey.incarnation) &&
            !(aKey.incarnation < aRecord.incarnation);
   });
-  mNewCrashes.push_back(
-    { aKey.incarnation, aKey.ordinal, { own.begin(), own.end() } });
+  CrashRecord record{ aKey.incarnation, aKey.ordinal, {} };
+  for (const auto& [trait, trial] : own) {
+    record.suspects.push_back({ trait, trial });
+  }
+  mNewCrashes.push_back(std::move(record));
 }
 
 void
-CrashSuspects::AddSuspects(const CrashKey& aKey,
-                           const std::vector<Trait>& aTraits)
+CrashSuspects::AddSuspect(const CrashKey& aKey, const CrashSuspect& aSuspect)
 {
-  auto& crash = mCrashes[aKey];
-  for (const auto trait : aTraits) {
-    if (crash.suspects.size() < kMaxSuspectsPerCrash) {
-      crash.suspects.insert(trait);
-      mCrashesByTrait[trait].insert(aKey);
-    }
+  auto& suspects = mCrashes[aKey].suspects;
+  if (suspects.size() < kMaxSuspectsPerCrash) {
+    suspects[aSuspect.trait] |= aSuspect.trial;
+    mCrashesByTrait[aSuspect.trait].insert(aKey);
   }
 }
 
@@ -249,12 +253,12 @@
   if (inserted) {
     crash->second.at = aAt;
   }
-  auto suspects = aRecord.suspects;
-  std::erase_if(suspects, [&](Trait aTrait) {
-    const auto cleared = mCleared.find(aTrait);
-    return cleared != mCleared.end() && cleared->second >= aAt;
-  });
-  AddSuspects(key, suspects);
+  for (const auto& suspect : aRecord.suspects) {
+    const auto cleared = mCleared.find(suspect.trait);
+    if (cleared == mCleared.end() || cleared->second < aAt) {
+      AddSuspect(key, suspect);
+    }
+  }
   // The crash of another VM's run explains the interruptions here.
   const auto& server = aRecord.incarnation.server;
   const auto own = mInterruptions.find(server);
@@ -301,11 +305,11 @@
 {
   const auto& crashes = mCrashesByTrait.at(aTrait);
   const auto& candidates = mCrashes.at(*crashes.begin()).suspects;
-  return std::any_of(candidates.begin(), candidates.end(), [&](Trait aOther) {
-    if (Contains(aTraits, aOther)) {
+  return std::any_of(candidates.begin(), candidates.end(), [&](const auto& aC) {
+    if (Contains(aTraits, aC.first)) {
       return false;
     }
-    const auto& others = mCrashesByTrait.at(aOther);
+    const auto& others = mCrashesByTrait.at(aC.first);
     return std::includes(
       others.begin(), others.end(), crashes.begin(), crashes.end());
   });
@@ -317,9 +321,15 @@
                          TimePoint aNow) const
 {
   const auto* crashes = CrashesOf(aTrait, aNow);
-  return crashes != nullptr &&
-         crashes->size() >= static_cast<std::size_t>(kHarmfulCrashCount) &&
-         !IsExplained(aTrait, aTraits);
+  if (crashes == nullptr ||
+      crashes->size() < static_cast<std::size_t>(kHarmfulCrashCount)) {
+    return false;
+  }
+  const bool tried =
+    std::any_of(crashes->begin(), crashes->end(), [&](const auto& aKey) {
+      return mCrashes.at(aKey).suspects.at(aTrait);
+    });
+  return tried && !IsExplained(aTrait, aTraits);
 }
 
 bool
@@ -394,7 +404,7 @@
         aNow - oldest->second.at <= kCrashLifetime) {
       break;
     }
-    for (const auto trait : oldest->second.suspects) {
+    for (const auto& [trait, trial] : oldest->second.suspects) {
       auto& keys = mCrashesByTrait.at(trait);
       keys.erase(oldest->first);
       if (keys.empty()) {
--- a/src/policy/crash_suspects_test.cpp
+++ b/src/policy/crash_suspects_test.cpp
@@ -21,8 +21,18 @@
 {
 public:
   explicit Crashes(CrashSuspects& aSuspects, std::uint64_t aVm = 1)
+    : Crashes(aSuspects, aVm, aSuspects)
+  {
+  }
+
+  /// @param aDecider What the VM knows that decides on the requests. A request
+  ///     that it suspects is sent in a trial.
+  Crashes(CrashSuspects& aSuspects,
+          std::uint64_t aVm,
+          const CrashSuspects& aDecider)
     : mSuspects(aSuspects)
     , mVm(aVm)
+    , mDecider(aDecider)
   {
   }
 
@@ -35,6 +45,7 @@
     run.key = { mVm, ++mLastJob };
     run.traits = aTraits;
     run.own = true;
+    run.trial = mDecider.StandingOf(aTraits, aNow) != CrashStanding::kNone;
     mSuspects.RecordInterruption(run, aNow);
   }
 
@@ -52,6 +63,7 @@
 private:
   CrashSuspects& mSuspects;
   std::uint64_t mVm;
+  const CrashSuspects& mDecider;
   JobId mLastJob = 0;
 };
 
@@ -120,7 +132,7 @@
   for (const char* server : { "a", "b", "c" }) {
     EXPECT_FALSE(IsHarmful(here, kHarmful, kStart));
     CrashSuspects there;
-    Crashes(there, ++vm).Crash({ server, 1 }, { kHarmful }, kStart);
+    Crashes(there, ++vm, here).Crash({ server, 1 }, { kHarmful }, kStart);
     for (const auto& crash : there.TakeCrashes()) {
       here.Merge(crash, kStart, kStart);
     }
@@ -181,6 +193,25 @@
             CrashStanding::kHarmful);
 }
 
+// Guards against a sound part that is refused because servers that run requests
+// with it crash together for another reason.
+TEST(CrashSuspects, CrashesAtOnceMakeNothingHarmfulWithoutATrial)
+{
+  CrashSuspects suspects;
+  for (std::uint64_t i = 0; i < 5; ++i) {
+    InterruptedRun run;
+    run.incarnation = { "s-" + std::to_string(i), 1 };
+    run.key = { 1, i };
+    run.traits = { 50 };
+    suspects.RecordInterruption(run, kStart);
+    suspects.RecordServerLoss(run.incarnation.server, kStart);
+  }
+  EXPECT_EQ(suspects.StandingOf({ 50 }, kStart), CrashStanding::kSuspect);
+  Crashes crashes(suspects);
+  crashes.Crash({ "s-9", 1 }, { 50 }, kStart + Seconds(1));
+  EXPECT_TRUE(IsHarmful(suspects, 50, kStart + Seconds(2)));
+}
+
 // Guards against a part that stays refused at one VM because another one has
 // cleared it, in whatever order the reports arrive.
 TEST(CrashSuspects, ClearancesFromOtherVmsHold)
@@ -247,8 +278,10 @@
   constexpr Trait kFirstShared = 50;
   std::vector<CrashSuspects> suspects(kVms);
   std::vector<Crashes> recorders;
+  // The VM that decides hears of each interruption at once.
+  CrashSuspects decider;
   for (std::size_t vm = 0; vm < kVms; ++vm) {
-    recorders.emplace_back(suspects[vm], vm + 1);
+    recorders.emplace_back(suspects[vm], vm + 1, decider);
   }
   struct Report
   {
@@ -275,6 +308,9 @@
     const ServerIncarnation server{ "s", static_cast<std::uint64_t>(i) };
     const auto shared = kFirstShared + *rc::gen::inRange<Trait>(0, 3);
     const Trait unique = 1000 + static_cast<Trait>(i);
+    const bool known =
+      decider.StandingOf({ kHarmful }, now) != CrashStanding::kNone;
+    RC_ASSERT(known == (i > 0));
     recorders[*rc::gen::inRange<std::size_t>(0, kVms)].Interrupt(
       server, { shared, kHarmful, unique }, now);
     // A sound request beside it, at another VM or the same one.
@@ -283,6 +319,7 @@
     for (auto& one : suspects) {
       one.RecordServerLoss("s", now + Milliseconds(60));
     }
+    decider.RecordInterruption({ server, { 9, unique }, { kHarmful } }, now);
     collect(now);
   }
   now += Seconds(5);
--- a/src/policy/harmful_part_load_test.cpp
+++ b/src/policy/harmful_part_load_test.cpp
@@ -139,5 +139,28 @@
   }
 }
 
+// Guards against a part that many requests have and that is refused because
+// several servers with such requests crash at the same moment.
+TEST_P(HarmfulPartLoad, CrashesOfManyServersAtOnceMakeNothingHarmful)
+{
+  LoadModel model(GetParam());
+  model.Add(EngineGroup{ 40, 5 });
+  model.Add(MakeTraffic("quote", 0, 60, 1));
+  model.Add(MakeTraffic("digest", 1, 50, 2));
+  model.Add(MakeTraffic("idea", 2, 100, 2));
+  for (int round = 0; round < 6; ++round) {
+    const Duration down = Seconds(3 + 4 * round);
+    for (int i = 0; i < 12; ++i) {
+      const auto server = "z-" + std::to_string(1 + (12 * round + i) % 40);
+      model.SetServerUp(server, false, down);
+      model.SetServerUp(server, true, down + Seconds(2));
+    }
+  }
+  model.Run(Seconds(30));
+  for (const char* kind : { "quote", "digest", "idea" }) {
+    EXPECT_EQ(model.OutcomeOfKind(kind).rejectedAsHarmful, 0) << kind;
+  }
+}
+
 } // namespace
 } // namespace magnoliatide::policy
--- a/src/policy/server_rate_limit.cpp
+++ b/src/policy/server_rate_limit.cpp
@@ -63,7 +63,8 @@
 ServerRateLimit::LevelAt(TimePoint aNow) const
 {
   const double seconds = std::max(0.0, ToSeconds(aNow - mSettledAt));
-  return std::min(std::max(1.0, kBurst * mShare), mLevel + seconds * mPerSecond * mShare);
+  return std::min(std::max(1.0, kBurst * mShare),
+                  mLevel + seconds * mPerSecond * mShare);
 }
 
 /// Moves the level to the present.
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -164,7 +164,7 @@
          aV.retryAllowed,
          aV.units);
   } else if constexpr (kIs<T, DispatchReply>) {
-    Each(aVisit, aV.number, aV.decision, aV.server, aV.probe);
+    Each(aVisit, aV.number, aV.decision, aV.server, aV.probe, aV.trial);
     Each(aVisit, aV.retryAfterMillis, aV.why);
   } else if constexpr (kIs<T, DispatchCancel>) {
     Each(aVisit, aV.number);
--- a/tests/harmful_part_process_test.cpp
+++ b/tests/harmful_part_process_test.cpp
@@ -6,7 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
-#include <set>
+#include <optional>
 #include <thread>
 
 namespace magnoliatide::tests {
@@ -123,7 +123,8 @@
     constexpr int kStepsPerHarmful = 4;
     const auto end = Clock::now() + aTime;
     for (int i = 0; Clock::now() < end; ++i) {
-      const auto vm = static_cast<std::size_t>(i) % mFleet.Vms().size();
+      auto vm = static_cast<std::size_t>(i) % mFleet.Vms().size();
+      vm = vm == mStopped ? (vm + 1) % mFleet.Vms().size() : vm;
       if (i % kStepsPerHarmful == 0) {
         mHarmful.push_back(mFleet.StartCall(vm, Quote(true)));
       }
@@ -152,6 +153,7 @@
   BatchEngineOptions mOptions; ///< Of the engines that are started.
   mutable PlatformFleet mFleet;
   int mLastNumber = 0;
+  std::optional<std::size_t> mStopped; ///< VM that gets no requests.
   std::vector<PlatformFleet::Pending> mHarmful;
   std::vector<PlatformFleet::Pending> mSound;
   std::vector<TimePoint> mDownSince; ///< By server; zero: up.
@@ -171,5 +173,30 @@
   EXPECT_EQ(SoundShare(), 1);
 }
 
+// Guards against knowledge of a part that is lost with the VM that decides: the
+// next one would let it crash servers again.
+TEST_F(HarmfulParts, WhatIsKnownOfAPartSurvivesTheVmThatDecides)
+{
+  Start();
+  SendBoth(Seconds(3));
+  SoundShare();
+  EXPECT_LE(Crashes(), kCrashesToLearn);
+  const auto log = mFleet.Log(0);
+  const auto by = log.rfind(" by=");
+  ASSERT_NE(by, std::string::npos);
+  for (std::size_t vm = 0; vm < mFleet.Vms().size(); ++vm) {
+    const auto address = document::Format(mFleet.Vms()[vm].peerAddress);
+    if (log.compare(by + 4, address.size(), address) == 0) {
+      mFleet.Vms()[vm].process.Signal(SIGKILL);
+      mStopped = vm;
+    }
+  }
+  ASSERT_TRUE(mStopped.has_value());
+  const int before = HarmfulRuns();
+  SendBoth(Seconds(4));
+  EXPECT_LE(HarmfulRuns(), before + kRequestsAfterwards);
+  EXPECT_EQ(SoundShare(), 1);
+}
+
 } // namespace
 } // namespace magnoliatide::tests
