--- a/src/fleet/dispatch_client.cpp
+++ b/src/fleet/dispatch_client.cpp
@@ -48,14 +48,13 @@
     std::clamp<std::int64_t>(micros, 0, 0xffffffff));
 }
 
-/// Adds what the head of the answer tells about the server's rate limit.
-template<typename Dispatched>
+/// Adds what the head of an answer tells about the server's rate limit.
 void
-AddHead(const Dispatched& aSent, wire::DispatchProgress& aProgress)
+AddHead(std::optional<double> aRateLimit, wire::DispatchProgress& aProgress)
 {
-  aProgress.hasHead = aSent.hasHead;
-  if (aSent.rateLimit) {
-    aProgress.rateLimit = static_cast<float>(*aSent.rateLimit);
+  aProgress.hasHead = true;
+  if (aRateLimit) {
+    aProgress.rateLimit = static_cast<float>(*aRateLimit);
   }
 }
 
@@ -194,7 +193,9 @@
   found->second.firstEventSeen = true;
   wire::DispatchProgress progress;
   progress.number = found->second.number;
-  AddHead(found->second, progress);
+  if (found->second.hasHead) {
+    AddHead(found->second.rateLimit, progress);
+  }
   Enqueue(found->second.coordinator, progress);
 }
 
@@ -277,8 +278,8 @@
   }
   const auto& sent = found->second;
   auto progress = EndProgress(sent.number, aReport);
-  if (!sent.firstEventSeen) {
-    AddHead(sent, progress);
+  if (sent.hasHead && !sent.firstEventSeen) {
+    AddHead(sent.rateLimit, progress);
   }
   Enqueue(sent.coordinator, progress);
   // The coordinator may be lost before it can tell the other VMs.
--- a/tests/harmful_part_process_test.cpp
+++ b/tests/harmful_part_process_test.cpp
@@ -77,7 +77,7 @@
     return call;
   }
 
-  int Crashes() const
+  int Crashes()
   {
     int crashes = 0;
     for (const auto& engine : mFleet.Engines()) {
@@ -151,7 +151,7 @@
   }
 
   BatchEngineOptions mOptions; ///< Of the engines that are started.
-  mutable PlatformFleet mFleet;
+  PlatformFleet mFleet;
   int mLastNumber = 0;
   std::optional<std::size_t> mStopped; ///< VM that gets no requests.
   std::vector<PlatformFleet::Pending> mHarmful;
