Fill all servers in the tests that a rate limit ends

Traced from their logs: the limits had ended (server-limit none on all VMs, and i-2 got three requests at once), but three of the four servers had slots for all of the traffic, and i-2, the least preferred one, was not needed. The tests were wrong to expect requests there.

The traffic of the last phase now needs more than all slots, so that each server without a limit must get more than the bound, which is the same. That all callers are served while the values are odd is checked before that phase.

--- a/tests/server_limit_process_test.cpp
+++ b/tests/server_limit_process_test.cpp
@@ -30,6 +30,10 @@
 constexpr Duration kWindow = Seconds(4);
 constexpr double kMaxInWindow = 1.5 * 4 * kLimit + 5;
 
+/// Time between two requests.
+constexpr Duration kStep = Milliseconds(25);
+constexpr Duration kSaturatingStep = Milliseconds(10);
+
 class ServerLimits : public ::testing::Test
 {
 protected:
@@ -59,7 +63,7 @@
     ASSERT_TRUE(mFleet.Start());
   }
 
-  /// Makes requests so long that the traffic needs all servers.
+  /// Makes requests so long that traffic with kSaturatingStep fills all slots.
   void MakeRequestsLong()
   {
     mOptions.slots = 3;
@@ -75,17 +79,18 @@
     mNamed = Clock::now();
   }
 
-  /// Sends requests to the given VMs in turn, 40 a second.
-  void Send(const std::vector<std::size_t>& aVms, Duration aTime)
+  /// Sends requests to the given VMs in turn, one in each step.
+  void Send(const std::vector<std::size_t>& aVms,
+            Duration aTime,
+            Duration aStep = kStep)
   {
-    constexpr Duration kStep = Milliseconds(25);
     const auto end = Clock::now() + aTime;
     while (Clock::now() < end) {
       CallSpec call;
       call.path = "/quotes/" + std::to_string(++mLastNumber);
       mPending.push_back(
         mFleet.StartCall(aVms[mLastNumber % aVms.size()], call));
-      std::this_thread::sleep_for(kStep);
+      std::this_thread::sleep_for(aStep);
     }
   }
 
@@ -194,8 +199,9 @@
   NameLimit("2");
   Send({ 0, 1, 2 }, Seconds(4));
   NameLimit("");
-  Send({ 0, 1, 2 }, Seconds(7));
-  const auto from = mNamed + Seconds(2);
+  Send({ 0, 1, 2 }, Seconds(2));
+  const auto from = Clock::now();
+  Send({ 0, 1, 2 }, Seconds(5), kSaturatingStep);
   for (std::size_t i = 0; i < kLimited; ++i) {
     const auto& engine = *mFleet.Engines()[i];
     EXPECT_GT(MostInWindow(engine, from), kMaxInWindow) << engine.Options().id;
@@ -213,13 +219,13 @@
     NameLimit(value);
     Send({ 0, 1, 2 }, Milliseconds(500));
   }
+  EXPECT_EQ(WholeShare(), 1);
   const auto from = Clock::now();
-  Send({ 0, 1, 2 }, Seconds(5));
+  Send({ 0, 1, 2 }, Seconds(5), kSaturatingStep);
   for (std::size_t i = 0; i < kLimited; ++i) {
     const auto& engine = *mFleet.Engines()[i];
     EXPECT_GT(MostInWindow(engine, from), kMaxInWindow) << engine.Options().id;
   }
-  EXPECT_EQ(WholeShare(), 1);
 }
 
 } // namespace
