Tell the cause of a request's end from the line that decided it

`magnoliatide explain` took the last line of a request for its end. A stream that ended at its route's timeout, with its answer begun, therefore was 'the log ends before the request does: the VM exited, or log lines were dropped', since the end of the caller's connection (request-dropped) is logged after the refusal. request-dropped and handler-failed were printed as raw fields. Other ends were untrue for the same reason: a takeover that was given up after the answer, or a VM that refused as it is no server, was taken for the end; a run that was cancelled by this VM was 'the caller disconnected'; an answer that could not be written was 'answered'.

The cause now comes from the last refusal, answer, caller's leave or fault of the request's last attempt, together with the end of the caller's connection, and names the request's age, the time that it had left, its runs and a planned stop of the VM. A table holds the events with their descriptions, another one the lines that decide. Ends of requests without an id are listed if no line has the id that is asked for.

--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -1,6 +1,9 @@
 // Parses log lines and prints the timeline of a request.
 #include "explain.h"
 
+#include "log_events.h"
+#include "request_cause.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -8,7 +11,6 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
-#include <set>
 #include <sstream>
 
 namespace magnoliatide::cli {
@@ -22,6 +24,15 @@
 
 constexpr std::string_view kTimeField = "time=";
 
+/// Ends of requests whose id was not read, or that have none.
+constexpr std::string_view kNamelessEnds[] = { "request-dropped",
+                                               "handler-failed",
+                                               "refuse",
+                                               "caller-left" };
+
+/// Maximum number of such ends that are printed.
+constexpr std::size_t kMaxNamelessEnds = 20;
+
 /// Parses the field value at a position and moves the position past it.
 std::string
 ReadValue(std::string_view aLine, std::size_t& aPosition)
@@ -61,160 +72,37 @@
   return WallClock::from_time_t(::timegm(&calendar)) + Milliseconds(millis);
 }
 
-bool
-Contains(const std::string& aText, const std::string& aSubstring)
-{
-  return !aSubstring.empty() && aText.find(aSubstring) != std::string::npos;
-}
-
-std::string
-DescribeSend(const LogRecord& aRecord)
-{
-  return "sent to server " + aRecord.Field("server") + " in zone " +
-         aRecord.Field("zone") + " (" + aRecord.Field("why") +
-         "); decided by " + aRecord.Field("by") + ", configuration " +
-         aRecord.Field("config") + ", servers as of revision " +
-         aRecord.Field("servers") + "; waited " + aRecord.Field("age_ms") +
-         " ms, " + aRecord.Field("left_ms") + " ms left";
-}
-
-std::string
-DescribeRun(const LogRecord& aRecord)
-{
-  std::string text =
-    "run at " + aRecord.Field("server") + " ended: " + aRecord.Field("result");
-  if (aRecord.Field("status") != "0") {
-    text += ", status " + aRecord.Field("status");
-  }
-  if (!aRecord.Field("detail").empty()) {
-    text += ", " + aRecord.Field("detail");
-  }
-  return text + "; first event after " + aRecord.Field("first_ms") + " ms, " +
-         aRecord.Field("tokens") + " tokens in " + aRecord.Field("run_ms") +
-         " ms, longest gap " + aRecord.Field("gap_ms") + " ms";
-}
-
-std::string
-DescribeRefusal(const LogRecord& aRecord)
-{
-  std::string text = "refused: " + aRecord.Field("reason") + " (" +
-                     aRecord.Field("detail") + ")";
-  if (!aRecord.Field("credential").empty()) {
-    text += ", key " + aRecord.Field("credential");
-  }
-  text += ", configuration " + aRecord.Field("config") + ", after " +
-          aRecord.Field("age_ms") + " ms";
-  if (aRecord.Field("answer") == "aborted") {
-    text += "; the answer had begun and was aborted";
-  }
-  if (aRecord.Field("retry_after_ms") != "0") {
-    text += "; retry after " + aRecord.Field("retry_after_ms") + " ms";
-  }
-  return text;
-}
-
-std::string
-DescribeChange(const LogRecord& aRecord)
-{
-  std::string text = aRecord.Field("subject") + ": ";
-  if (!aRecord.Field("from").empty()) {
-    text += aRecord.Field("from") + " to ";
-  }
-  return text + aRecord.Field("to") + " (" + aRecord.Field("cause") + ")";
-}
-
-std::string
-Describe(const LogRecord& aRecord)
+Duration
+TimeBetween(const LogRecord& aRecord, const LogRecord& aFirst)
 {
-  if (aRecord.event == "send") {
-    return DescribeSend(aRecord);
-  }
-  if (aRecord.event == "answered" || aRecord.event == "run-ended") {
-    return DescribeRun(aRecord);
-  }
-  if (aRecord.event == "refuse") {
-    return DescribeRefusal(aRecord);
-  }
-  if (aRecord.event == "silent") {
-    return "server " + aRecord.Field("server") + " has sent nothing for " +
-           aRecord.Field("silent_ms") + " ms";
-  }
-  if (aRecord.event == "no-takeover") {
-    return "no other server can continue the stream: " +
-           aRecord.Field("reason") + " (" + aRecord.Field("detail") + ")";
-  }
-  if (aRecord.event == "caller-left") {
-    return "the caller disconnected after " + aRecord.Field("age_ms") + " ms";
-  }
-  if (aRecord.event == "change") {
-    return DescribeChange(aRecord);
-  }
-  if (aRecord.event == "configuration") {
-    return "configuration " + aRecord.Field("version") + ", revision " +
-           aRecord.Field("revision") + " from " + aRecord.Field("from") + ": " +
-           aRecord.Field("changes");
-  }
-  if (aRecord.event == "servers") {
-    return "list of servers, revision " + aRecord.Field("revision") + " from " +
-           aRecord.Field("from") + ": " + aRecord.Field("changes");
-  }
-  std::string text = aRecord.event;
-  for (const auto& [name, value] : aRecord.fields) {
-    text += " " + name + "=" + value;
-  }
-  return text;
+  return std::chrono::duration_cast<Duration>(aRecord.time - aFirst.time);
 }
 
-/// Returns whether a record describes a change that may have affected a request
-/// handled by the given VMs and servers.
-bool
-MayAffectRequest(const LogRecord& aRecord,
-                 const std::set<std::string>& aVms,
-                 const std::set<std::string>& aServers)
+void
+SortByTime(std::vector<TimelineStep>& aSteps)
 {
-  if (aVms.count(aRecord.vm) == 0) {
-    return false;
-  }
-  if (aRecord.event == "servers") {
-    return std::any_of(aServers.begin(), aServers.end(), [&](const auto& aId) {
-      return Contains(aRecord.Field("changes"), aId);
+  std::stable_sort(
+    aSteps.begin(), aSteps.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.record.time < aRight.record.time;
     });
-  }
-  if (aRecord.event != "change") {
-    return aRecord.event == "crashed" || aRecord.event == "crash-suspect" ||
-           aRecord.event == "configuration";
-  }
-  const auto& subject = aRecord.Field("subject");
-  const bool server =
-    std::any_of(aServers.begin(), aServers.end(), [&](const auto& aId) {
-      return Contains(subject, aId);
-    });
-  return server || subject == "platform store" || subject == "vm";
 }
 
-std::string
-DescribeCause(const LogRecord& aLast)
+/// Prints the last ends of requests without an id.
+void
+PrintNamelessEnds(const std::vector<TimelineStep>& aEnds)
 {
-  if (aLast.event == "answered" && aLast.Field("result") == "whole") {
-    return "the request was answered";
-  }
-  if (aLast.event == "caller-left" || aLast.Field("result") == "cancelled") {
-    return "the caller disconnected";
-  }
-  if (aLast.event == "refuse") {
-    return aLast.Field("reason") + ": " + aLast.Field("detail");
-  }
-  if (aLast.event == "run-ended") {
-    return aLast.Field("result") + ": " + aLast.Field("detail");
+  if (aEnds.empty()) {
+    return;
+  }
+  std::cerr
+    << "lines of ends without an id, of requests that were read only in "
+       "part or had none: "
+    << aEnds.size() << "; the last ones:\n";
+  const auto count = std::min(aEnds.size(), kMaxNamelessEnds);
+  for (auto i = aEnds.size() - count; i < aEnds.size(); ++i) {
+    std::cerr << "  " << FormatTime(aEnds[i].record.time) << "  "
+              << aEnds[i].record.vm << "  " << aEnds[i].text << "\n";
   }
-  return "the log ends before the request does: the VM exited, or log lines "
-         "were dropped";
-}
-
-Duration
-TimeBetween(const LogRecord& aRecord, const LogRecord& aFirst)
-{
-  return std::chrono::duration_cast<Duration>(aRecord.time - aFirst.time);
 }
 
 void
@@ -316,38 +204,59 @@
               const std::string& aRequest)
 {
   Timeline timeline;
-  std::set<std::string> vms;
-  std::set<std::string> servers;
+  std::vector<LogRecord> own;
+  Participants participants;
   for (const auto& record : aRecords) {
-    if (record.Field("request") != aRequest) {
+    if (aRequest.empty() || record.Field("request") != aRequest) {
       continue;
     }
-    timeline.steps.push_back({ record, Describe(record), true });
-    vms.insert(record.vm);
+    own.push_back(record);
+    participants.vms.insert(record.vm);
     if (!record.Field("server").empty()) {
-      servers.insert(record.Field("server"));
+      participants.servers.insert(record.Field("server"));
     }
   }
-  if (timeline.steps.empty()) {
+  if (own.empty()) {
     return timeline;
   }
-  const auto byTime = [](const auto& aLeft, const auto& aRight) {
-    return aLeft.record.time < aRight.record.time;
-  };
-  std::stable_sort(timeline.steps.begin(), timeline.steps.end(), byTime);
-  timeline.cause = DescribeCause(timeline.steps.back().record);
-  const auto from = timeline.steps.front().record.time - kMarginBefore;
-  const auto to = timeline.steps.back().record.time + kMarginAfter;
+  std::stable_sort(
+    own.begin(), own.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.time < aRight.time;
+    });
+  timeline.cause = DescribeCause(own, aRecords);
+  for (const auto& record : own) {
+    timeline.steps.push_back({ record, Describe(record), true });
+  }
+  const auto from = own.front().time - kMarginBefore;
+  const auto to = own.back().time + kMarginAfter;
   for (const auto& record : aRecords) {
     const bool inWindow = record.time >= from && record.time <= to;
-    if (inWindow && MayAffectRequest(record, vms, servers)) {
+    const bool ofOther = !record.Field("request").empty();
+    if (inWindow && !ofOther && MayAffectRequest(record, participants)) {
       timeline.steps.push_back({ record, Describe(record), false });
     }
   }
-  std::stable_sort(timeline.steps.begin(), timeline.steps.end(), byTime);
+  SortByTime(timeline.steps);
   return timeline;
 }
 
+std::vector<TimelineStep>
+FindNamelessEnds(const std::vector<LogRecord>& aRecords)
+{
+  std::vector<TimelineStep> ends;
+  for (const auto& record : aRecords) {
+    const auto& names = kNamelessEnds;
+    const bool isEnd =
+      std::find(std::begin(names), std::end(names), record.event) !=
+      std::end(names);
+    if (isEnd && record.Field("request").empty()) {
+      ends.push_back({ record, Describe(record), true });
+    }
+  }
+  SortByTime(ends);
+  return ends;
+}
+
 ExitCode
 ExplainRequest(const std::string& aRequest,
                const std::vector<std::string>& aFiles,
@@ -374,6 +283,7 @@
       << aRequest
       << "; check the ID, and pass the logs of all VMs from the time of the "
          "request\n";
+    PrintNamelessEnds(FindNamelessEnds(records));
     return ExitCode::kRefused;
   }
   (aJson ? PrintTimelineJson : PrintTimeline)(aRequest, timeline);
--- a/src/cli/explain.h
+++ b/src/cli/explain.h
@@ -47,16 +47,22 @@
 struct Timeline
 {
   std::vector<TimelineStep> steps; ///< Ordered by time.
-  std::string cause;               ///< Why the request ended as it did.
+  /// What ended the request, with figures.
+  std::string cause;
 };
 
 /// Builds the timeline of a request.
 ///
-/// @return A timeline without steps if no record names the request.
+/// @return A timeline without steps if no record names the request. An empty id
+/// names none.
 Timeline
 BuildTimeline(const std::vector<LogRecord>& aRecords,
               const std::string& aRequest);
 
+/// Returns the ends of requests that have no id in the log, ordered by time.
+std::vector<TimelineStep>
+FindNamelessEnds(const std::vector<LogRecord>& aRecords);
+
 /// Reads log files, or standard input if none are given, and prints the
 /// timeline of a request.
 ExitCode
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -765,12 +765,68 @@
     << timeline;
   EXPECT_TRUE(Contains(timeline, "sent to server o-1")) << timeline;
   EXPECT_TRUE(Contains(timeline, "run at o-1 ended: cut")) << timeline;
+  EXPECT_TRUE(Contains(timeline, "runs: o-1 cut after")) << timeline;
   EXPECT_TRUE(Contains(timeline, "configuration 3")) << timeline;
   const auto unknown =
     RunProgram("explain 00000000000000d0 " + mFleet.Vms()[0].outputPath);
   EXPECT_TRUE(Contains(unknown, "names request 00000000000000d0")) << unknown;
 }
 
+// Guards against a stream that ends at its route's timeout, while its server is
+// silent, and is explained as an exit of the VM.
+TEST_F(Platform, AStreamThatEndsAtItsTimeoutIsExplained)
+{
+  auto options = Engine("i-1");
+  options.events = 100;
+  options.eventInterval = Milliseconds(10);
+  mFleet.AddEngine(options);
+  RouteConfig route;
+  route.timeoutMillis = 1500;
+  mFleet.Publish({ route }, { TeamConfig() });
+  ASSERT_TRUE(mFleet.Start());
+  auto call = CallTo("/quotes/1");
+  call.id = "00000000000000de";
+  auto pending = mFleet.StartCall(0, call);
+  std::this_thread::sleep_for(Milliseconds(400));
+  At(0).FallSilent(Seconds(4));
+  const auto result = pending.Result();
+  EXPECT_EQ(result.status, CallStatus::kCut);
+  EXPECT_EQ(result.response.status, 200);
+  ASSERT_TRUE(AwaitTrue([&] {
+    return Contains(mFleet.Log(0),
+                    "event=request-dropped request=00000000000000de");
+  }))
+    << mFleet.Log(0);
+  const auto timeline =
+    RunProgram("explain 00000000000000de " + mFleet.Vms()[0].outputPath);
+  for (const char* text :
+       { "cause: timed-out: it may have run: the deadline passed",
+         "(by the caller's deadline or the route's timeout) was up",
+         "runs: i-1 silent after",
+         "the answer had begun, and the caller's connection was cut",
+         "server i-1 has sent nothing for",
+         "before its answer was complete: this VM cut the answer" }) {
+    EXPECT_TRUE(Contains(timeline, text)) << text << "\n" << timeline;
+  }
+  EXPECT_FALSE(Contains(timeline, "cause=aborted")) << timeline;
+  EXPECT_FALSE(Contains(timeline, "the log ends")) << timeline;
+}
+
+// Guards against a request that was read only in part and of which no line can
+// be found, as its id is not known.
+TEST_F(Platform, ARequestThatWasReadInPartIsExplained)
+{
+  StartWith(1);
+  mFleet.SendRaw(0, "POST /quotes/1 HTTP/1.1\r\nHost: a\r\n", Milliseconds(50));
+  ASSERT_TRUE(
+    AwaitTrue([&] { return Contains(mFleet.Log(0), "event=request-dropped"); }))
+    << mFleet.Log(0);
+  const auto text =
+    RunProgram("explain 00000000000000d1 " + mFleet.Vms()[0].outputPath);
+  EXPECT_TRUE(Contains(text, "names request 00000000000000d1")) << text;
+  EXPECT_TRUE(Contains(text, "only a part of the request was read")) << text;
+}
+
 TEST(Program, CommandsTellTheirOwnWords)
 {
   EXPECT_TRUE(Contains(RunProgram("explan x"), "did you mean \"explain\""));
