Let large unfinished bodies give way to small ones

Callers got 502 for whole answers of 40 KB and more of a sound server while the bodies of another server, which grew to just under the limit and then went on byte by byte until the deadline, held the memory for bodies.

Cause: the memory that all bodies share was given to whoever asked first, and refused to whoever asked last, however small.

When the memory is used up, the unfinished body that has used most memory for most time now ends with kTooLarge, as one over the limit does: its request is retried or answered 502, and its server is recorded as failed. The asking read pauses until the memory has been returned, so that the bound on the process is kept also with several event loops. Complete bodies do not give way. A server's error that is kept while another server is tried is counted besides the next answer; both had shared one count.

--- /dev/null
+++ b/include/magnoliatide/http/body_memory.h
@@ -0,0 +1,65 @@
+// The memory that the bodies of responses may use together in a process. Bodies
+// share it so that servers that send without end cannot use up the process's
+// memory. If it is used up, a large body that has been read for long gives way:
+// its read fails. Small bodies are not displaced by large ones.
+#ifndef MAGNOLIATIDE_HTTP_BODY_MEMORY_H
+#define MAGNOLIATIDE_HTTP_BODY_MEMORY_H
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace magnoliatide::http {
+
+/// The result of a request for memory.
+enum class MemoryGrant
+{
+  kGranted,
+  kLater,  ///< Other bodies give way; ask again soon.
+  kDenied, ///< This body gives way.
+};
+
+/// The share of one body. Returned when the object is destroyed. Each object is
+/// used on one event loop; different ones may be used on different loops.
+class BodyMemory
+{
+public:
+  BodyMemory() = default;
+  ~BodyMemory();
+  BodyMemory(BodyMemory&& aOther) noexcept;
+  BodyMemory& operator=(BodyMemory&& aOther) noexcept;
+  BodyMemory(const BodyMemory&) = delete;
+  BodyMemory& operator=(const BodyMemory&) = delete;
+
+  /// Begins the read of a body, without a share.
+  ///
+  /// @param aExecutor The event loop that reads the body.
+  /// @param aGiveWay Called on that loop if the body must give way. Ends the
+  ///     read, after which the share must be returned. Not called after End().
+  void Begin(boost::asio::any_io_executor aExecutor,
+             std::function<void()> aGiveWay);
+
+  /// Enlarges the share to the size of the body. The first bytes of each body
+  /// are not counted.
+  MemoryGrant Enlarge(std::size_t aBodyBytes);
+
+  /// Ends the read. A complete body keeps its share. Returns false if the body
+  /// has given way.
+  bool End();
+
+  /// Returns the share.
+  void Clear();
+
+private:
+  struct Share;
+  class Shares;
+  static Shares& AllShares();
+
+  std::shared_ptr<Share> mShare; ///< Null before Begin().
+};
+
+} // namespace magnoliatide::http
+
+#endif
--- a/include/magnoliatide/http/client.h
+++ b/include/magnoliatide/http/client.h
@@ -4,6 +4,7 @@
 #define MAGNOLIATIDE_HTTP_CLIENT_H
 
 #include "magnoliatide/document/document.h"
+#include "magnoliatide/http/body_memory.h"
 #include "magnoliatide/http/message.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -23,33 +24,11 @@
   kCut,           ///< After a byte was sent, the connection was lost or bytes
                   ///< came that are no response.
   kSilent,        ///< Timeout after a byte was sent.
-  kTooLarge,      ///< The body exceeds the maximum size, or the memory for
-                  ///< bodies is used up.
+  kTooLarge,      ///< The body exceeds the maximum size, or has given way to
+                  ///< others as the memory for bodies was used up.
   kClosedLocally, ///< Close() was called.
 };
 
-/// A share of the memory that all bodies that callers wait for may use together
-/// in this process. Returned when the object is destroyed.
-class BodyMemory
-{
-public:
-  BodyMemory() = default;
-  ~BodyMemory();
-  BodyMemory(const BodyMemory&) = delete;
-  BodyMemory& operator=(const BodyMemory&) = delete;
-
-  /// Enlarges the share to the size of a body. Returns false if the memory is
-  /// used up. Small bodies are not counted, so that large ones cannot displace
-  /// them.
-  bool Cover(std::size_t aBodyBytes);
-
-  /// Returns the share.
-  void Clear();
-
-private:
-  std::size_t mTaken = 0;
-};
-
 /// A connection that carries one request at a time. It may be used only on the
 /// event loop that it was created on.
 class ClientConnection
@@ -98,7 +77,8 @@
   ///     EndBy() limits the whole.
   /// @param aMemory Receives the share of memory that the body uses. Without
   ///     it, the body is not counted.
-  /// @return kTooLarge if the rest exceeds aMaxBytes.
+  /// @return kTooLarge if the rest exceeds aMaxBytes or gives way to others.
+  ///     With a status other than kDone, the body is empty and has no share.
   virtual boost::asio::awaitable<CallStatus> ReadRest(
     std::string& aBody,
     std::size_t aMaxBytes,
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -57,10 +57,10 @@
   bool mayHaveRun = false; ///< After a send that was lost or failed.
   int runs = 0; ///< Number of servers that run it or may have run it.
   std::optional<http::Response> answer; ///< Complete, to be sent.
+  http::BodyMemory answerMemory;        ///< Of the answer's body.
   /// A server's error response, relayed if no other server can be tried.
   std::optional<http::Response> serverError;
-  /// Memory of the answer's body.
-  http::BodyMemory bodyMemory;
+  http::BodyMemory errorMemory; ///< Of the error response's body.
   /// Connections that have carried the request. It is not sent again on one of
   /// them, so that its id identifies the answer to a send.
   std::vector<std::weak_ptr<http::ClientConnection>> usedConnections;
--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -203,7 +203,9 @@
   if (TakenOver()) {
     // An answer that was complete at the same moment is not used.
     mRequest->answer.reset();
+    mRequest->answerMemory.Clear();
     mRequest->serverError.reset();
+    mRequest->errorMemory.Clear();
     end = EndLost(http::CallStatus::kSilent);
   }
   mRelaying = false;
@@ -460,16 +462,15 @@
 Sender::RelayBuffered(AnswerHead aHead)
 {
   std::string body;
+  http::BodyMemory memory;
   const auto status = co_await mConnection->ReadRest(
-    body, kMaxBufferedBytes, StepTimeout(*mRequest), &mRequest->bodyMemory);
+    body, kMaxBufferedBytes, StepTimeout(*mRequest), &memory);
   if (status != http::CallStatus::kDone) {
-    mRequest->bodyMemory.Clear();
     co_return EndLost(status);
   }
   const bool failed = aHead.status >= 500;
   if (body.empty() && !failed && mConnection->EndsWithConnection()) {
     // A server that was lost after the head leaves the same bytes.
-    mRequest->bodyMemory.Clear();
     co_return EndLost(http::CallStatus::kCut);
   }
   RecordEvents();
@@ -484,9 +485,11 @@
   answer.body = std::move(body);
   if (failed) {
     mRequest->serverError = std::move(answer);
+    mRequest->errorMemory = std::move(memory);
     co_return End(SendOutcome::kFailed, result, "the server returned an error");
   }
   mRequest->answer = std::move(answer);
+  mRequest->answerMemory = std::move(memory);
   co_return End(SendOutcome::kAnswered, result);
 }
 
@@ -623,7 +626,7 @@
       mConnection->Close();
       return End(SendOutcome::kLost,
                  policy::SendResult::kFailed,
-                 "the answer exceeds the size limit");
+                 "the answer exceeds the size limit or the memory for answers");
     default:
       return End(SendOutcome::kLost,
                  policy::SendResult::kCut,
--- /dev/null
+++ b/src/http/body_memory_test.cpp
@@ -0,0 +1,174 @@
+// Tests of which bodies give way when the memory for bodies is used up, and of
+// its bound.
+#include "magnoliatide/http/body_memory.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <thread>
+#include <vector>
+
+namespace magnoliatide::http {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kKilobyte = 1024;
+constexpr std::size_t kMegabyte = 1024 * kKilobyte;
+/// Memory that all bodies may use, and the uncounted part of each of them.
+constexpr std::size_t kMaxBytes = 32 * kMegabyte;
+constexpr std::size_t kUncountedBytes = 16 * kKilobyte;
+
+/// A body whose read ends when it gives way.
+class Body
+{
+public:
+  explicit Body(asio::io_context& aLoop)
+  {
+    memory.Begin(aLoop.get_executor(), [this] {
+      gaveWay = true;
+      memory.End();
+      memory.Clear();
+    });
+  }
+
+  BodyMemory memory;
+  bool gaveWay = false;
+};
+
+class BodyMemoryTest : public ::testing::Test
+{
+protected:
+  Body& Add(std::size_t aBytes)
+  {
+    auto& body = mBodies.emplace_back(mLoop);
+    EXPECT_EQ(body.memory.Enlarge(aBytes), MemoryGrant::kGranted);
+    return body;
+  }
+
+  /// Enlarges a body and lets others give way.
+  MemoryGrant Enlarge(Body& aBody, std::size_t aBytes)
+  {
+    auto grant = aBody.memory.Enlarge(aBytes);
+    while (grant == MemoryGrant::kLater) {
+      mLoop.restart();
+      mLoop.run();
+      grant = aBody.memory.Enlarge(aBytes);
+    }
+    return grant;
+  }
+
+  int GaveWay() const
+  {
+    return static_cast<int>(std::count_if(
+      mBodies.begin(), mBodies.end(), [](auto& b) { return b.gaveWay; }));
+  }
+
+  asio::io_context mLoop{ 1 };
+  std::deque<Body> mBodies;
+};
+
+// Guards against small bodies that are refused because large ones hold the
+// memory.
+TEST_F(BodyMemoryTest, ALargeBodyGivesWayToASmallOne)
+{
+  for (int i = 0; i < 4; ++i) {
+    Add(8 * kMegabyte + kUncountedBytes);
+  }
+  auto& body = mBodies.emplace_back(mLoop);
+  EXPECT_EQ(Enlarge(body, 40 * kKilobyte), MemoryGrant::kGranted);
+  EXPECT_EQ(GaveWay(), 1);
+  EXPECT_FALSE(body.gaveWay);
+}
+
+// Guards against a body that gives way because it arrived last.
+TEST_F(BodyMemoryTest, AnOldBodyGivesWayToALargerNewOne)
+{
+  const auto size = kMegabyte + kUncountedBytes;
+  for (int i = 0; i < 32; ++i) {
+    Add(size);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  auto& body = mBodies.emplace_back(mLoop);
+  for (auto bytes = kUncountedBytes; bytes <= kUncountedBytes + 2 * kMegabyte;
+       bytes += kUncountedBytes) {
+    ASSERT_EQ(Enlarge(body, bytes), MemoryGrant::kGranted);
+  }
+  EXPECT_FALSE(body.gaveWay);
+  EXPECT_EQ(GaveWay(), 2);
+}
+
+// Guards against dropping an answer that is whole.
+TEST_F(BodyMemoryTest, ACompleteBodyKeepsItsMemory)
+{
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(Add(8 * kMegabyte + kUncountedBytes).memory.End());
+  }
+  auto& body = mBodies.emplace_back(mLoop);
+  EXPECT_EQ(Enlarge(body, kUncountedBytes), MemoryGrant::kGranted);
+  EXPECT_EQ(Enlarge(body, 40 * kKilobyte), MemoryGrant::kDenied);
+  EXPECT_FALSE(body.memory.End());
+  EXPECT_EQ(GaveWay(), 0);
+}
+
+// Guards against an unbounded process: the bodies of several event loops must
+// not use more than the memory, and each of them must end.
+TEST(BodyMemoryThreads, StayWithinTheMemory)
+{
+  constexpr int kLoops = 3;
+  constexpr int kBodiesPerLoop = 16;
+  constexpr std::size_t kStep = 64 * kKilobyte;
+  std::atomic<std::size_t> held{ 0 };
+  std::atomic<std::size_t> peak{ 0 };
+  std::atomic<int> whole{ 0 };
+  std::atomic<int> denied{ 0 };
+  const auto read = [&](std::size_t aBytes) -> asio::awaitable<void> {
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor);
+    BodyMemory memory;
+    bool gaveWay = false;
+    memory.Begin(executor, [&] { gaveWay = true; });
+    std::size_t size = 0;
+    while (size < aBytes && !gaveWay) {
+      const auto grant = memory.Enlarge(kUncountedBytes + size + kStep);
+      if (grant == MemoryGrant::kDenied) {
+        break;
+      }
+      if (grant == MemoryGrant::kGranted) {
+        size += kStep;
+        const auto now = held.fetch_add(kStep) + kStep;
+        auto most = peak.load();
+        while (now > most && !peak.compare_exchange_weak(most, now)) {
+        }
+      }
+      timer.expires_after(std::chrono::microseconds(100));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    (memory.End() ? whole : denied) += 1;
+    held.fetch_sub(size);
+    memory.Clear();
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < kLoops; ++i) {
+    threads.emplace_back([&] {
+      asio::io_context loop(1);
+      for (int j = 0; j < kBodiesPerLoop; ++j) {
+        asio::co_spawn(loop, read((1 + j % 4) * 2 * kMegabyte), asio::detached);
+      }
+      loop.run();
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  EXPECT_LE(peak.load(), kMaxBytes);
+  EXPECT_EQ(whole + denied, kLoops * kBodiesPerLoop);
+  EXPECT_GT(whole.load(), 0);
+  EXPECT_GT(denied.load(), 0);
+}
+
+} // namespace
+} // namespace magnoliatide::http
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -11,7 +11,6 @@
 
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <optional>
 
 namespace magnoliatide::http {
@@ -38,11 +37,8 @@
 constexpr std::size_t kMaxFramingBytes = 1024 * 1024;
 /// Interim responses before the final one.
 constexpr int kMaxInterimResponses = 16;
-/// Memory for all counted bodies together, beyond kUncountedBodyBytes each.
-constexpr std::size_t kMaxBodyMemory = 32 * 1024 * 1024;
-constexpr std::size_t kUncountedBodyBytes = 16 * 1024;
-
-std::atomic<std::size_t> sBodyMemory{ 0 };
+/// Interval between requests for memory while other bodies give way.
+constexpr Duration kMemoryInterval = Milliseconds(1);
 
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
@@ -249,21 +245,26 @@
                                        BodyMemory* aMemory) override
   {
     aBody.clear();
-    std::string chunk;
-    while (true) {
-      const auto status = co_await ReadSome(chunk, aTimeout);
-      if (status != CallStatus::kDone) {
-        co_return status;
-      }
-      if (chunk.empty()) {
-        co_return CallStatus::kDone;
-      }
-      const auto size = aBody.size() + chunk.size();
-      if (size > aMaxBytes || (aMemory && !aMemory->Cover(size))) {
-        co_return CallStatus::kTooLarge;
+    if (aMemory) {
+      aMemory->Begin(mStream.get_executor(), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) {
+          self->mStream.close();
+        }
+      });
+    }
+    auto status = co_await ReadBody(aBody, aMaxBytes, aTimeout, aMemory);
+    const bool gaveWay = aMemory && !aMemory->End();
+    if (gaveWay && !mClosedLocally) {
+      status = CallStatus::kTooLarge;
+    }
+    if (status != CallStatus::kDone) {
+      aBody = std::string();
+      if (aMemory) {
+        aMemory->Clear();
       }
-      aBody += chunk;
     }
+    co_return status;
   }
 
   asio::awaitable<CallStatus> SkipRest(std::size_t aMaxBytes,
@@ -315,6 +316,39 @@
     return std::min(Clock::now() + aTimeout, mEnd);
   }
 
+  asio::awaitable<CallStatus> ReadBody(std::string& aBody,
+                                       std::size_t aMaxBytes,
+                                       Duration aTimeout,
+                                       BodyMemory* aMemory)
+  {
+    std::string chunk;
+    while (true) {
+      const auto status = co_await ReadSome(chunk, aTimeout);
+      if (status != CallStatus::kDone || chunk.empty()) {
+        co_return status;
+      }
+      const auto size = aBody.size() + chunk.size();
+      if (size > aMaxBytes) {
+        co_return CallStatus::kTooLarge;
+      }
+      while (aMemory) {
+        const auto grant = aMemory->Enlarge(size);
+        if (grant == MemoryGrant::kGranted) {
+          break;
+        }
+        if (grant == MemoryGrant::kDenied) {
+          co_return CallStatus::kTooLarge;
+        }
+        asio::steady_timer timer(mStream.get_executor(), kMemoryInterval);
+        co_await timer.async_wait(kNoThrow);
+        if (mClosedLocally || Clock::now() >= mEnd) {
+          co_return HandleError(beast::error::timeout);
+        }
+      }
+      aBody += chunk;
+    }
+  }
+
   void CopyHead(Response& aHead) const
   {
     const auto& message = mParser->get();
@@ -396,34 +430,6 @@
 
 } // namespace
 
-BodyMemory::~BodyMemory()
-{
-  Clear();
-}
-
-bool
-BodyMemory::Cover(std::size_t aBodyBytes)
-{
-  const auto needed = aBodyBytes - std::min(aBodyBytes, kUncountedBodyBytes);
-  if (needed <= mTaken) {
-    return true;
-  }
-  const auto more = needed - mTaken;
-  if (sBodyMemory.fetch_add(more) + more > kMaxBodyMemory) {
-    sBodyMemory.fetch_sub(more);
-    return false;
-  }
-  mTaken = needed;
-  return true;
-}
-
-void
-BodyMemory::Clear()
-{
-  sBodyMemory.fetch_sub(mTaken);
-  mTaken = 0;
-}
-
 std::shared_ptr<ClientConnection>
 MakeConnection(asio::any_io_executor aExecutor,
                const document::Endpoint& aPeer,
--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -97,11 +97,13 @@
   int RepeatedRefusals() const override { return mRepeated.load(); }
 
   void AnswerWithoutEnd(Duration aPause,
-                        std::optional<EndlessPart> aPart) override
+                        std::optional<EndlessPart> aPart,
+                        std::size_t aAtOnce) override
   {
-    Post([this, aPause, aPart] {
+    Post([this, aPause, aPart, aAtOnce] {
       mEndlessPause = aPause;
       mEndlessPart = aPart;
+      mEndlessAtOnce = aAtOnce;
     });
   }
 
@@ -371,7 +373,12 @@
     while (pause == Duration::zero() && filler.size() < kFillerBytes) {
       filler += answer.filler;
     }
-    bool open = co_await Write(aSocket, answer.begin);
+    std::string begin = answer.begin;
+    const auto full = begin.size() + mEndlessAtOnce;
+    while (begin.size() < full) {
+      begin.append(answer.filler, 0, full - begin.size());
+    }
+    bool open = co_await Write(aSocket, std::move(begin));
     for (std::size_t i = 0; open; ++i) {
       if (pause == Duration::zero()) {
         open = co_await Write(aSocket, filler);
@@ -706,6 +713,7 @@
   /// Time between two bytes of answers without end; none: sound answers.
   std::optional<Duration> mEndlessPause;
   std::optional<EndlessPart> mEndlessPart;
+  std::size_t mEndlessAtOnce = 0; ///< Bytes of the part without pauses.
   int mEndlessAnswers = 0;
   TimePoint mSilentUntil{}; ///< Nothing is sent before this time.
   std::set<tcp::socket*> mSockets;
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -143,8 +143,10 @@
   /// @param aPause Time between two bytes; zero sends as fast as possible.
   /// @param aPart The part that does not end. If not given, each request gets
   ///     another one, in the order of EndlessPart.
+  /// @param aAtOnce Number of bytes of the part that are sent without pauses.
   virtual void AnswerWithoutEnd(Duration aPause,
-                                std::optional<EndlessPart> aPart = {}) = 0;
+                                std::optional<EndlessPart> aPart = {},
+                                std::size_t aAtOnce = 0) = 0;
 
   /// Suspends the engine for a time: it keeps its connections and requests, but
   /// sends nothing and starts no run until then.
--- a/tests/strange_answers_process_test.cpp
+++ b/tests/strange_answers_process_test.cpp
@@ -65,7 +65,7 @@
     return mFleet.AddEngine(options);
   }
 
-  void Start()
+  void Start(const LimitsConfig& aLimits = {})
   {
     RouteConfig deposits;
     deposits.name = "deposits";
@@ -82,7 +82,8 @@
     notes.name = "notes";
     notes.prefix = "/notes/";
     notes.service = "notes";
-    mFleet.Publish({ RouteConfig(), deposits, stock, notes }, { TeamConfig() });
+    mFleet.Publish(
+      { RouteConfig(), deposits, stock, notes }, { TeamConfig() }, aLimits);
     ASSERT_TRUE(mFleet.Start());
   }
 
@@ -517,5 +518,92 @@
                                                                : "Slow");
                          });
 
+/// Bodies that grow to a size and then go on byte by byte until the deadline.
+struct StalledBodies
+{
+  const char* name;
+  int count;
+  std::size_t bytes; ///< Of each body, before the first pause.
+};
+
+class BodiesBesideStalledOnes
+  : public StrangeAnswers
+  , public ::testing::WithParamInterface<StalledBodies>
+{};
+
+// Guards against whole answers that are dropped because the unfinished bodies
+// of another server have used up the memory for bodies.
+TEST_P(BodiesBesideStalledOnes, AreGivenToTheirCallers)
+{
+  constexpr int kDeadlineMillis = 5000;
+  constexpr std::size_t kRequestBytes = 1024 * 1024;
+  /// Strings may have twice the size of their bytes.
+  constexpr double kMegabytesOfBodies = 2 * 32;
+  constexpr int kSoundBodies = 2;
+  const auto& param = GetParam();
+  auto& strange = Add("o-1", "orders", 400);
+  Add("n-1", "notes", 16);
+  LimitsConfig limits;
+  limits.bodyBytes = static_cast<int>(kRequestBytes);
+  Start(limits);
+  auto& process = mFleet.Vms()[0].process;
+  const double idle = load::UsageOf(process.Id()).residentMegabytes;
+  strange.AnswerWithoutEnd(
+    Milliseconds(50), EndlessPart::kBodyOfLength, param.bytes);
+  const TimePoint end =
+    Clock::now() + Milliseconds(kDeadlineMillis) + kAnswerSlack;
+  std::vector<PlatformFleet::Pending> stalled;
+  for (int i = 0; i < param.count; ++i) {
+    stalled.push_back(mFleet.StartCall(0, NextCall("deposits", 5000)));
+  }
+  std::this_thread::sleep_for(Seconds(1));
+  EXPECT_EQ(strange.Runs().size(), static_cast<std::size_t>(param.count));
+  double peak = 0;
+  int sound = 0;
+  while (Clock::now() < end - Seconds(2)) {
+    for (const std::size_t bytes : { 40, 150, 400 }) {
+      std::vector<std::pair<CallSpec, PlatformFleet::Pending>> pending;
+      for (int i = 0; i < kSoundBodies; ++i) {
+        auto note = NextCall("notes", 1500);
+        note.body.resize(bytes * 1024, 'x');
+        pending.emplace_back(note, mFleet.StartCall(0, note));
+      }
+      for (auto& [note, result] : pending) {
+        const auto answer = result.Result();
+        EXPECT_EQ(answer.status, CallStatus::kDone) << bytes;
+        EXPECT_EQ(answer.response.status, 200) << bytes;
+        EXPECT_TRUE(answer.response.body == ExpectedBody(note)) << bytes;
+        ++sound;
+      }
+      peak = std::max(peak, load::UsageOf(process.Id()).residentMegabytes);
+    }
+  }
+  EXPECT_GT(sound, 0);
+  std::this_thread::sleep_until(end);
+  for (auto& result : stalled) {
+    ASSERT_TRUE(result.Ended());
+    const auto answer = result.Result();
+    EXPECT_EQ(answer.status, CallStatus::kDone);
+    EXPECT_TRUE(answer.response.status == 502 || answer.response.status == 504)
+      << answer.response.status;
+  }
+  ASSERT_TRUE(process.Running());
+  const double requests =
+    2.0 * kSoundBodies * static_cast<double>(kRequestBytes) / (1024 * 1024);
+  EXPECT_LT(peak - idle, kMegabytesOfBodies + 3 * requests);
+  EXPECT_LT(peak, kVmMegabytes);
+  RecordProperty("PeakMegabytes", static_cast<int>(peak));
+  RecordProperty("SoundBodies", sound);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Sizes,
+  BodiesBesideStalledOnes,
+  ::testing::Values(StalledBodies{ "Four", 4, 8 * 1024 * 1024 - 1024 },
+                    StalledBodies{ "Eight", 8, 8 * 1024 * 1024 - 1024 },
+                    StalledBodies{ "Hundred", 100, 340 * 1024 },
+                    StalledBodies{ "Many", 330, 120 * 1024 }),
+  [](const auto& aInfo) { return std::string(aInfo.param.name); });
+
 } // namespace
 } // namespace magnoliatide::tests
