Do not keep the answers of checks

A VM ran out of memory while streams of a silent server looked for another one and that server answered the checks with bytes without end: each stream has a check of its own, and each check kept up to 16 MB.

The memory of bodies bounds answers to callers only; a check was a call that returns its whole body, although only its status and its headers are used. Checks now read the body without keeping it.

--- a/include/magnoliatide/http/client.h
+++ b/include/magnoliatide/http/client.h
@@ -140,6 +140,14 @@
      Duration aTimeout,
      std::string aLocalHost = "");
 
+/// Makes one call as Call() does, but reads the body without keeping it. The
+/// body of the result is empty.
+boost::asio::awaitable<CallResult>
+CallForHead(document::Endpoint aPeer,
+            Request aRequest,
+            Duration aTimeout,
+            std::string aLocalHost = "");
+
 } // namespace magnoliatide::http
 
 #endif
--- a/src/backend/pool.cpp
+++ b/src/backend/pool.cpp
@@ -119,10 +119,10 @@
   http::Request request;
   request.target = "/health";
   const auto& options = mStore->options;
-  const auto result = co_await http::Call(aServer,
-                                          std::move(request),
-                                          options.connectTimeout,
-                                          options.connection.localHost);
+  const auto result = co_await http::CallForHead(aServer,
+                                                 std::move(request),
+                                                 options.connectTimeout,
+                                                 options.connection.localHost);
   Health health;
   health.answered =
     result.status == http::CallStatus::kDone && result.response.status == 200;
@@ -147,10 +147,11 @@
               http::Request aRequest,
               Duration aTimeout)
 {
-  const auto result = co_await http::Call(aServer,
-                                          std::move(aRequest),
-                                          aTimeout,
-                                          mStore->options.connection.localHost);
+  const auto result =
+    co_await http::CallForHead(aServer,
+                               std::move(aRequest),
+                               aTimeout,
+                               mStore->options.connection.localHost);
   co_return result.status == http::CallStatus::kDone;
 }
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -30,7 +30,7 @@
 /// the parser needs at once: a chunk's size line or the trailers.
 constexpr std::size_t kMaxUnparsedBytes = 32 * 1024;
 constexpr std::uint64_t kMaxResponseBytes = 64 * 1024 * 1024;
-/// Maximum size of the body of a Call().
+/// Maximum size of the body of a Call() or CallForHead().
 constexpr std::size_t kMaxCallBytes = 16 * 1024 * 1024;
 /// Bytes of one response that frame its body: sizes and extensions of chunks,
 /// and trailers.
@@ -439,11 +439,14 @@
     std::move(aExecutor), aPeer, std::move(aOptions));
 }
 
+namespace {
+
 asio::awaitable<CallResult>
-Call(document::Endpoint aPeer,
-     Request aRequest,
-     Duration aTimeout,
-     std::string aLocalHost)
+CallOnce(document::Endpoint aPeer,
+         Request aRequest,
+         Duration aTimeout,
+         std::string aLocalHost,
+         bool aKeepsBody)
 {
   CallResult result;
   const auto executor = co_await asio::this_coro::executor;
@@ -459,11 +462,41 @@
   if (result.status == CallStatus::kDone) {
     result.status = co_await connection->ReadHead(result.response, aTimeout);
   }
-  if (result.status == CallStatus::kDone) {
+  if (result.status == CallStatus::kDone && aKeepsBody) {
     result.status = co_await connection->ReadRest(
       result.response.body, kMaxCallBytes, aTimeout);
+  } else if (result.status == CallStatus::kDone) {
+    result.status = co_await connection->SkipRest(kMaxCallBytes, aTimeout);
   }
   co_return result;
 }
 
+} // namespace
+
+asio::awaitable<CallResult>
+Call(document::Endpoint aPeer,
+     Request aRequest,
+     Duration aTimeout,
+     std::string aLocalHost)
+{
+  return CallOnce(std::move(aPeer),
+                  std::move(aRequest),
+                  aTimeout,
+                  std::move(aLocalHost),
+                  true);
+}
+
+asio::awaitable<CallResult>
+CallForHead(document::Endpoint aPeer,
+            Request aRequest,
+            Duration aTimeout,
+            std::string aLocalHost)
+{
+  return CallOnce(std::move(aPeer),
+                  std::move(aRequest),
+                  aTimeout,
+                  std::move(aLocalHost),
+                  false);
+}
+
 } // namespace magnoliatide::http
--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -33,6 +33,8 @@
 constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
 /// Size of one write of an answer that is sent as fast as possible.
 constexpr std::size_t kFillerBytes = 16 * 1024;
+constexpr char kEndlessCheck[] =
+  "HTTP/1.1 200 S\r\nContent-Length: 50000000\r\n\r\n";
 constexpr char kHealthPath[] = "/healthz";
 constexpr char kStatusPath[] = "/magnoliatide/report";
 
@@ -107,6 +109,11 @@
     });
   }
 
+  void AnswerChecksWithoutEnd() override
+  {
+    Post([this] { mEndlessChecks = true; });
+  }
+
   void FallSilent(Duration aTime) override
   {
     Post([this, aTime] {
@@ -273,6 +280,13 @@
     const TimePoint arrived = Clock::now();
     co_await AwaitSilenceEnd();
     const auto& message = aParser.get();
+    if (health && mEndlessChecks) {
+      bool open = co_await Write(aSocket, kEndlessCheck);
+      while (open) {
+        open = co_await Write(aSocket, std::string(kFillerBytes, 'x'));
+      }
+      co_return false;
+    }
     if (health) {
       co_return co_await Write(aSocket, MakeResponse(200, "ok", "", false));
     }
@@ -715,6 +729,7 @@
   std::optional<EndlessPart> mEndlessPart;
   std::size_t mEndlessAtOnce = 0; ///< Bytes of the part without pauses.
   int mEndlessAnswers = 0;
+  bool mEndlessChecks = false;
   TimePoint mSilentUntil{}; ///< Nothing is sent before this time.
   std::set<tcp::socket*> mSockets;
   http::Threads mThreads;
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -148,6 +148,9 @@
                                 std::optional<EndlessPart> aPart = {},
                                 std::size_t aAtOnce = 0) = 0;
 
+  /// Answers health and status checks from now on with a body without end.
+  virtual void AnswerChecksWithoutEnd() = 0;
+
   /// Suspends the engine for a time: it keeps its connections and requests, but
   /// sends nothing and starts no run until then.
   virtual void FallSilent(Duration aTime) = 0;
--- a/tests/strange_answers_process_test.cpp
+++ b/tests/strange_answers_process_test.cpp
@@ -605,5 +605,51 @@
                     StalledBodies{ "Many", 330, 120 * 1024 }),
   [](const auto& aInfo) { return std::string(aInfo.param.name); });
 
+// Guards against a VM that keeps the answers of checks: while the streams of a
+// silent server look for another one, that one answers the checks without end.
+TEST_F(StrangeAnswers, ChecksWithoutEndUseLittleMemory)
+{
+  constexpr int kStreams = 150;
+  constexpr int kDeadlineMillis = 6000;
+  /// Share of a connection in the memory of a VM whose descriptors are used up.
+  constexpr double kMegabytesPerConnection = kVmMegabytes / 4100;
+  auto& silent = Add("i-1", "language", 400);
+  auto& strange = Add("i-2", "language", 400);
+  Add("n-1", "notes");
+  Start();
+  auto& process = mFleet.Vms()[0].process;
+  const double idle = load::UsageOf(process.Id()).residentMegabytes;
+  strange.AnswerChecksWithoutEnd();
+  silent.FallSilent(Seconds(3));
+  std::vector<std::pair<CallSpec, PlatformFleet::Pending>> pending;
+  const TimePoint end =
+    Clock::now() + Milliseconds(kDeadlineMillis) + kAnswerSlack;
+  for (int i = 0; i < kStreams; ++i) {
+    const auto call = NextCall("quotes", kDeadlineMillis);
+    pending.emplace_back(call, mFleet.StartCall(0, call));
+  }
+  double peak = 0;
+  for (bool ended = false; !ended && Clock::now() < end;) {
+    const auto note = NextCall("notes", 1000);
+    EXPECT_EQ(mFleet.Call(0, note).response.body, ExpectedBody(note));
+    peak = std::max(peak, load::UsageOf(process.Id()).residentMegabytes);
+    ended = std::all_of(pending.begin(), pending.end(), [](auto& aPending) {
+      return aPending.second.Ended();
+    });
+  }
+  for (auto& [call, result] : pending) {
+    ASSERT_TRUE(result.Ended());
+    const auto answer = result.Result();
+    EXPECT_EQ(answer.status, CallStatus::kDone);
+    EXPECT_EQ(answer.response.body, ExpectedBody(call));
+  }
+  ASSERT_TRUE(process.Running());
+  // Each stream has its caller, its server and a check.
+  EXPECT_LT(peak - idle, 3 * kStreams * kMegabytesPerConnection);
+  EXPECT_LT(peak, kVmMegabytes);
+  RecordProperty("PeakMegabytes", static_cast<int>(peak));
+  RecordProperty("IdleMegabytes", static_cast<int>(idle));
+}
+
 } // namespace
 } // namespace magnoliatide::tests
