Do not grant a running request a second time

What callers saw: nothing was seen in a process; found by reading. After a pause of the VM that decides, the slots of a server could stay taken although nothing ran there, and the VM read memory that it had released.

Cause: a pause (DropWaiting) or a cancellation drops the record of the last reply but not the run. A repetition of the request that arrives afterwards was submitted as a new one under the same number. The entry of the run was overwritten, and the first server kept a pointer to it that its end did not remove.

Evidence: RepeatedRequests.ARequestThatComesAgainAfterAPauseKeepsItsServer and ARequestThatComesAgainAfterItsEndLeavesNoRunBehind failed before, each with a free server that was not granted ("wait" in place of "send"), the first one also with another server in the second reply. Both pass now.

A repetition gets the grant of the run again, so that there is one run for one number, and its VM hears of the server at which the coordinator counts it. If the VM has no use for the grant, it ends the run as before.

--- a/include/magnoliatide/policy/allocator.h
+++ b/include/magnoliatide/policy/allocator.h
@@ -76,9 +76,9 @@
                        std::optional<double> aPerSecond,
                        TimePoint aNow);
 
-  /// Submits a request. Exactly one allocation is returned for it, by this or a
-  /// later call, unless Withdraw(), DropWaiting() or RemoveVm() removes it
-  /// first.
+  /// Submits a request that is neither queued nor running. Exactly one
+  /// allocation is returned for it, by this or a later call, unless Withdraw(),
+  /// DropWaiting() or RemoveVm() removes it first.
   ///
   /// @param aZone The zone of the VM that accepted the request.
   Allocations Submit(const JobKey& aKey,
@@ -92,6 +92,9 @@
   /// Removes all queued requests, without returning allocations for them.
   void DropWaiting();
 
+  /// Returns the allocation of a running request, without its forecast.
+  std::optional<Allocation> FindGrant(const JobKey& aKey);
+
   /// Records the first event of the response to a running request.
   void RecordFirstEvent(const JobKey& aKey);
 
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -163,6 +163,12 @@
     mReplies.push_back({ aVm, record->second.reply });
     return;
   }
+  const auto granted = mAllocator.FindGrant(key);
+  if (granted) {
+    // The record was dropped, but the request may run at that server.
+    EnqueueReply(aVm, ToReply(*granted), aNow);
+    return;
+  }
   policy::Job job = FromWire(aRequest, aNow);
   if (!CheckBudgets(aVm, job, aNow)) {
     return;
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -191,6 +191,23 @@
   }
 }
 
+std::optional<Allocation>
+Allocator::FindGrant(const JobKey& aKey)
+{
+  auto* service = FindServiceRunning(aKey);
+  if (service == nullptr) {
+    return std::nullopt;
+  }
+  const auto& running = *service->pool.FindRunning(aKey);
+  Allocation allocation;
+  allocation.key = aKey;
+  allocation.send = true;
+  allocation.server = running.server->descriptor.id;
+  allocation.trial = running.trial;
+  allocation.why = "granted before";
+  return allocation;
+}
+
 void
 Allocator::RecordFirstEvent(const JobKey& aKey)
 {
