Return a stream to a silent server if its successor rejects it

What callers saw: a stream was aborted although its server was sound and continued after a pause of a second or so, because the server that had taken the stream over meanwhile answered with an error.

Cause: a takeover counts as accepted when its server, after a sign of life, has not rejected the request for 0.2 s. A server that fails it later leaves the stream without any: the first run has been closed, its server is excluded and both attempts are used up. Accepted work was given up on a suspicion.

If the successor rejects or fails the stream with a complete answer and no further server can be tried, the stream is sent once more to the server that it was taken from. That server has had the request before, so no engine beyond the route's attempts gets it. The scheduler does not count this send; a server that is full by then rejects it, and the stream ends as before. After a cut connection the stream does not return: the request may have crashed its server.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -54,6 +54,19 @@
   return aRequest.writer ? "aborted" : "complete";
 }
 
+/// Returns whether a server that has taken a stream over has ended its send
+/// with an answer that does not continue it.
+bool
+HasRejected(const SendEnd& aEnd)
+{
+  const auto result = aEnd.report.result;
+  return aEnd.outcome != SendOutcome::kAnswered &&
+         (result == policy::SendResult::kFailed ||
+          result == policy::SendResult::kNotRun ||
+          result == policy::SendResult::kFull ||
+          result == policy::SendResult::kMoved);
+}
+
 } // namespace
 
 namespace {
@@ -96,6 +109,7 @@
     Sender& aSender,
     asio::awaitable<SendEnd> (Sender::*aRun)());
   asio::awaitable<Decision> AwaitDecision(RequestPointer aRequest);
+  static std::optional<Decision> DecideToReturn(Request& aRequest);
   asio::awaitable<void> Refuse(RequestPointer aRequest, Refusal aRefusal);
   asio::awaitable<void> FinishAnswer(RequestPointer aRequest);
   asio::awaitable<void> FailUnresolved(RequestPointer aRequest,
@@ -193,8 +207,22 @@
 asio::awaitable<void>
 Forwarder::Core::Serve(RequestPointer aRequest)
 {
+  bool rejected = false; // By a server that had taken the stream over.
+  std::optional<Decision> toReturn;
   while (!aRequest->callerDisconnected) {
-    Decision decision = co_await AwaitDecision(aRequest);
+    Decision decision;
+    if (toReturn) {
+      decision = std::move(*toReturn);
+      toReturn.reset();
+    } else {
+      decision = co_await AwaitDecision(aRequest);
+    }
+    if (!decision.send && rejected) {
+      toReturn = DecideToReturn(*aRequest);
+      if (toReturn) {
+        continue;
+      }
+    }
     if (aRequest->callerDisconnected) {
       telemetry::LogInfo(
         "caller-left",
@@ -230,7 +258,14 @@
     }
     aRequest->job.resumes = aRequest->writer != nullptr;
     aRequest->job.failed = end.outcome == SendOutcome::kFailed;
+    rejected = HasRejected(end);
     if (aRequest->mayHaveRun && !aRequest->MayRetry()) {
+      if (rejected) {
+        toReturn = DecideToReturn(*aRequest);
+      }
+      if (toReturn) {
+        continue;
+      }
       co_await FailUnresolved(aRequest, end.detail);
       co_return;
     }
@@ -239,6 +274,26 @@
                   aRequest->callerDisconnected ? "caller-gone" : "answered");
 }
 
+/// Returns the decision to send a stream once more to the last server that it
+/// was taken from, if there is one. That server was only suspected, and as it
+/// has had the request before, this is no further attempt.
+std::optional<Decision>
+Forwarder::Core::DecideToReturn(Request& aRequest)
+{
+  if (aRequest.leftServers.empty() || aRequest.expired ||
+      aRequest.callerDisconnected) {
+    return std::nullopt;
+  }
+  Decision decision;
+  decision.send = true;
+  decision.probe = true;
+  decision.server = std::move(aRequest.leftServers.back());
+  decision.why = "returns to a server that was silent";
+  aRequest.leftServers.pop_back();
+  aRequest.job.id = aRequest.newJobId();
+  return decision;
+}
+
 /// Sends the request to a server and, while others take its stream over, relays
 /// their answers. Returns how the last send ended.
 asio::awaitable<SendEnd>
@@ -270,6 +325,7 @@
       co_return end;
     }
     aRequest->mayHaveRun = true;
+    aRequest->leftServers.push_back(sender->Server());
     sender = std::move(end.successor);
     end = co_await RunSender(*sender, &Sender::Resume);
   }
--- a/tests/silence_process_test.cpp
+++ b/tests/silence_process_test.cpp
@@ -34,13 +34,14 @@
     return std::string(info->test_suite_name()) + "." + info->name();
   }
 
-  void StartWith(int aEngines)
+  void StartWith(int aEngines, Duration aFirstByteDelay = Milliseconds(20))
   {
     for (int i = 1; i <= aEngines; ++i) {
       BatchEngineOptions options;
       options.id = "i-" + std::to_string(i);
       options.events = kEventCount;
       options.eventInterval = kEventInterval;
+      options.firstByteDelay = aFirstByteDelay;
       mFleet.AddEngine(options);
     }
     mFleet.PublishDefaultRoutes();
@@ -216,5 +217,20 @@
   EXPECT_FALSE(second[0].lastEventId.empty());
 }
 
+// Guards against a stream that is aborted because its server pauses and the one
+// that continues the stream fails: the first one is sound.
+TEST_F(Silence, AStreamReturnsToItsServerIfTheOtherOneFails)
+{
+  // The failure comes later than a rejection may.
+  StartWith(2, Milliseconds(400));
+  StartQuotes(1);
+  std::this_thread::sleep_for(Milliseconds(300));
+  const std::size_t busy = At(0).Runs().empty() ? 1 : 0;
+  At(1 - busy).SetFault(EngineFault::kFailed);
+  At(busy).FallSilent(kSilence);
+  ExpectCompleteQuotes();
+  EXPECT_EQ(At(1 - busy).Runs().size(), 1u);
+}
+
 } // namespace
 } // namespace magnoliatide::tests
