Let the scheduler decide on the return of a stream

What could happen: a stream that returns to the server it was taken from was sent without a decision, so that neither the retry budget, nor the slots, nor a rate limit that the server names counted it.

The request now names the only server that it may be sent to, and waits for the scheduler like any retry. That server may have been marked as down because of its silence; it is eligible for the stream nevertheless, as no other server is.

Evidence: SilentServer.GetsAStreamThatReturnsToIt checks that the stream goes to that server, also while it counts as down, and to no other.

--- a/include/magnoliatide/policy/job.h
+++ b/include/magnoliatide/policy/job.h
@@ -59,6 +59,8 @@
   TimePoint deadline;   ///< A response after this time is of no use.
   /// Ids of servers that the request must not be sent to again.
   std::vector<std::string> excludedServers;
+  /// Id of the only server that it may be sent to; empty: any.
+  std::string onlyServer;
   int serversReached = 0; ///< Number of servers that the request has reached.
   /// Units to take from the team's quota; zero if none or already taken.
   double quotaUnits = 0;
@@ -67,6 +69,12 @@
   bool resumes = false; ///< Continues a response that was partly delivered.
   bool failed = false;  ///< A server answered it with a server error.
   bool retryAllowed = false; ///< May be sent once more if its server fails it.
+
+  /// Returns whether it may be sent to any server.
+  bool IsUnrestricted() const
+  {
+    return excludedServers.empty() && onlyServer.empty();
+  }
 };
 
 /// How the sending of a request to a server ended.
--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -293,6 +293,7 @@
   std::uint32_t remainingMillis = 0; ///< Until the request's deadline.
   /// Servers that the request must not be sent to again.
   std::vector<std::string> excludedServers;
+  std::string onlyServer; ///< The only one it may be sent to; empty: any.
   std::uint8_t serversReached = 0; ///< Number of servers it has reached.
   bool failed = false;       ///< A server answered it with a server error.
   bool retryAllowed = false; ///< It may be retried if its server fails.
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -87,6 +87,7 @@
   job.gapTarget = Milliseconds(aRequest.gapTargetMillis);
   job.deadline = aNow + Milliseconds(aRequest.remainingMillis);
   job.excludedServers = aRequest.excludedServers;
+  job.onlyServer = aRequest.onlyServer;
   job.serversReached = aRequest.serversReached;
   job.failed = aRequest.failed;
   job.retryAllowed = aRequest.retryAllowed;
@@ -114,6 +115,7 @@
   request.gapTargetMillis = ToMillis(aJob.gapTarget);
   request.remainingMillis = ToMillis(aJob.deadline - aNow);
   request.excludedServers = aJob.excludedServers;
+  request.onlyServer = aJob.onlyServer;
   request.serversReached =
     static_cast<std::uint8_t>(std::min(aJob.serversReached, 255));
   request.failed = aJob.failed;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -109,7 +109,7 @@
     Sender& aSender,
     asio::awaitable<SendEnd> (Sender::*aRun)());
   asio::awaitable<Decision> AwaitDecision(RequestPointer aRequest);
-  static std::optional<Decision> DecideToReturn(Request& aRequest);
+  static bool PrepareReturn(Request& aRequest);
   asio::awaitable<void> Refuse(RequestPointer aRequest, Refusal aRefusal);
   asio::awaitable<void> FinishAnswer(RequestPointer aRequest);
   asio::awaitable<void> FailUnresolved(RequestPointer aRequest,
@@ -208,20 +208,10 @@
 Forwarder::Core::Serve(RequestPointer aRequest)
 {
   bool rejected = false; // By a server that had taken the stream over.
-  std::optional<Decision> toReturn;
   while (!aRequest->callerDisconnected) {
-    Decision decision;
-    if (toReturn) {
-      decision = std::move(*toReturn);
-      toReturn.reset();
-    } else {
-      decision = co_await AwaitDecision(aRequest);
-    }
-    if (!decision.send && rejected) {
-      toReturn = DecideToReturn(*aRequest);
-      if (toReturn) {
-        continue;
-      }
+    Decision decision = co_await AwaitDecision(aRequest);
+    if (!decision.send && rejected && PrepareReturn(*aRequest)) {
+      continue;
     }
     if (aRequest->callerDisconnected) {
       telemetry::LogInfo(
@@ -247,6 +237,7 @@
     aRequest->job.quotaUnits = 0;
     LogSend(params, *aRequest, decision);
     const SendEnd end = co_await RunSends(aRequest, decision);
+    aRequest->job.onlyServer.clear();
     aRequest->mayHaveRun |=
       end.outcome == SendOutcome::kLost || end.outcome == SendOutcome::kFailed;
     if (end.outcome == SendOutcome::kAnswered &&
@@ -260,10 +251,7 @@
     aRequest->job.failed = end.outcome == SendOutcome::kFailed;
     rejected = HasRejected(end);
     if (aRequest->mayHaveRun && !aRequest->MayRetry()) {
-      if (rejected) {
-        toReturn = DecideToReturn(*aRequest);
-      }
-      if (toReturn) {
+      if (rejected && PrepareReturn(*aRequest)) {
         continue;
       }
       co_await FailUnresolved(aRequest, end.detail);
@@ -274,24 +262,21 @@
                   aRequest->callerDisconnected ? "caller-gone" : "answered");
 }
 
-/// Returns the decision to send a stream once more to the last server that it
-/// was taken from, if there is one. That server was only suspected, and as it
-/// has had the request before, this is no further attempt.
-std::optional<Decision>
-Forwarder::Core::DecideToReturn(Request& aRequest)
+/// Restricts the next send of a stream to the last server that it was taken
+/// from, if there is one. That server was only suspected, and as it has had the
+/// request before, the send is no further attempt.
+bool
+Forwarder::Core::PrepareReturn(Request& aRequest)
 {
   if (aRequest.leftServers.empty() || aRequest.expired ||
       aRequest.callerDisconnected) {
-    return std::nullopt;
+    return false;
   }
-  Decision decision;
-  decision.send = true;
-  decision.probe = true;
-  decision.server = std::move(aRequest.leftServers.back());
-  decision.why = "returns to a server that was silent";
+  auto& job = aRequest.job;
+  job.onlyServer = std::move(aRequest.leftServers.back());
   aRequest.leftServers.pop_back();
-  aRequest.job.id = aRequest.newJobId();
-  return decision;
+  std::erase(job.excludedServers, job.onlyServer);
+  return true;
 }
 
 /// Sends the request to a server and, while others take its stream over, relays
@@ -325,7 +310,7 @@
       co_return end;
     }
     aRequest->mayHaveRun = true;
-    aRequest->leftServers.push_back(sender->Server());
+    aRequest->leftServers.push_back(sender->Server().id);
     sender = std::move(end.successor);
     end = co_await RunSender(*sender, &Sender::Resume);
   }
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -56,8 +56,8 @@
   bool ended = false;      ///< The final answer is being or was written.
   bool mayHaveRun = false; ///< After a send that was lost or failed.
   int runs = 0; ///< Number of servers that run it or may have run it.
-  /// Servers that were silent while another one took the stream over.
-  std::vector<routing::Server> leftServers;
+  /// Ids of servers that were silent while another one took the stream over.
+  std::vector<std::string> leftServers;
   std::optional<http::Response> answer; ///< Complete, to be sent.
   http::BodyMemory answerMemory;        ///< Of the answer's body.
   /// A server's error response, relayed if no other server can be tried.
--- a/src/forward/takeover.cpp
+++ b/src/forward/takeover.cpp
@@ -51,6 +51,7 @@
   auto job = mRequest->job;
   job.id = mRequest->newJobId();
   job.quotaUnits = 0;
+  job.onlyServer.clear();
   job.excludedServers.push_back(aSilentServer);
   if (!mAvoidedServer.empty()) {
     job.excludedServers.push_back(std::exchange(mAvoidedServer, {}));
--- a/src/node/local_dispatcher.cpp
+++ b/src/node/local_dispatcher.cpp
@@ -13,6 +13,9 @@
 bool
 IsExcluded(const policy::Job& aJob, const std::string& aId)
 {
+  if (!aJob.onlyServer.empty() && aId != aJob.onlyServer) {
+    return true;
+  }
   return std::find(aJob.excludedServers.begin(),
                    aJob.excludedServers.end(),
                    aId) != aJob.excludedServers.end();
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -523,7 +523,7 @@
       decided.push_back(waiting.key);
       free -= 1;
     } else if (result == TrySendResult::kAllBusy &&
-               waiting.job.excludedServers.empty()) {
+               waiting.job.IsUnrestricted()) {
       busyZones.insert(waiting.zone);
     }
   }
--- a/src/policy/allocator_load_test.cpp
+++ b/src/policy/allocator_load_test.cpp
@@ -308,7 +308,9 @@
     mRunning = allocation.key;
   }
 
-  Allocation SubmitJob(std::vector<std::string> aExcluded, int aServersReached)
+  Allocation SubmitJob(std::vector<std::string> aExcluded,
+                       int aServersReached,
+                       const std::string& aOnly = "")
   {
     Job job;
     job.id = ++mLastId;
@@ -319,6 +321,7 @@
     job.target = Seconds(1);
     job.deadline = mNow + Seconds(5);
     job.excludedServers = std::move(aExcluded);
+    job.onlyServer = aOnly;
     job.serversReached = aServersReached;
     auto allocations = mAllocator.Submit({ 1, job.id }, job, "z", mNow);
     return allocations.empty() ? Allocation() : allocations.front();
@@ -342,6 +345,19 @@
   EXPECT_TRUE(SubmitJob({ "b" }, 1).send);
 }
 
+// Guards against a stream that cannot return to the server that it was taken
+// from, or that goes to another one instead.
+TEST_F(SilentServer, GetsAStreamThatReturnsToIt)
+{
+  const auto second = SubmitJob({ "b" }, 0);
+  mAllocator.RecordSilence(mRunning, mNow);
+  mAllocator.RecordSilence(second.key, mNow);
+  const auto returned = SubmitJob({}, 2, "a");
+  EXPECT_TRUE(returned.send);
+  EXPECT_EQ(returned.server, "a");
+  EXPECT_FALSE(SubmitJob({ "a" }, 2, "a").send);
+}
+
 // Guards against a server that loses its slots although it keeps its requests.
 TEST_F(SilentServer, KeepsItsRequest)
 {
--- a/src/policy/server_pool.cpp
+++ b/src/policy/server_pool.cpp
@@ -427,6 +427,9 @@
       Contains(aJob.excludedServers, aServer.descriptor.id)) {
     return false;
   }
+  if (!aJob.onlyServer.empty()) {
+    return aServer.descriptor.id == aJob.onlyServer;
+  }
   return HealthSeenFrom(aServer, aZone, aNow) != HealthState::kDown;
 }
 
@@ -452,7 +455,7 @@
     std::any_of(mServers.begin(), mServers.end(), [](const auto& aEntry) {
       return !aEntry.second->descriptor.leaving;
     });
-  return present && aJob.excludedServers.empty();
+  return present && aJob.IsUnrestricted();
 }
 
 int
@@ -560,7 +563,7 @@
                        TimePoint aNow)
 {
   Forecast best;
-  if (!aJob.excludedServers.empty() || AnyEligible(aJob, aZone, aNow)) {
+  if (!aJob.IsUnrestricted() || AnyEligible(aJob, aZone, aNow)) {
     return best;
   }
   for (auto* server : mOpenServers) {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -159,6 +159,7 @@
          aV.remainingMillis);
     Each(aVisit,
          aV.excludedServers,
+         aV.onlyServer,
          aV.serversReached,
          aV.failed,
          aV.retryAllowed,
