Refuse waiting requests of a service whose last server leaves

What callers saw: requests that waited for a slot when the last server of their service left were refused only shortly before their deadline (after 7.6 s of 8 s in a run), while new requests were refused at once.

Cause: a pass over the queue ends when no slot is free. Without a server no slot is free, so the check whether any server can take a request was not reached.

The route of a waiting request stays the one that it was read with, so a moved route does not end it.

A queue whose service has no server is now refused as a whole, with the same reason and retry time as a new request.

--- a/include/magnoliatide/policy/allocator.h
+++ b/include/magnoliatide/policy/allocator.h
@@ -206,6 +206,7 @@
   Service* FindServiceRunning(const JobKey& aKey);
   void DispatchWaiting(Service& aService, TimePoint aNow, Allocations& aOut);
   void Shed(Service& aService, TimePoint aNow, Allocations& aOut);
+  void RejectWaiting(Service& aService, Allocations& aOut);
   TrySendResult TrySend(DispatchPass& aPass, const WaitingJob& aWaiting);
   bool ReserveTimelySlot(DispatchPass& aPass, const WaitingJob& aWaiting);
   bool SendOrRejectOverQuota(DispatchPass& aPass, const WaitingJob& aWaiting);
--- a/include/magnoliatide/policy/server_pool.h
+++ b/include/magnoliatide/policy/server_pool.h
@@ -222,6 +222,9 @@
   /// allowance for requests in transit and the queue depth.
   int FreeSlots(TimePoint aNow) const;
 
+  /// Returns whether a server accepts requests, healthy or not.
+  bool AnyPresent() const;
+
   /// Returns the number of slots of all servers that are not leaving.
   int Slots() const;
 
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -487,10 +487,15 @@
   Allocations out;
   ClearBegunTrials(aNow);
   for (auto& [name, service] : mServices) {
-    if (!service.backlog.empty()) {
-      DispatchWaiting(service, aNow, out);
-      Shed(service, aNow, out);
+    if (service.backlog.empty()) {
+      continue;
+    }
+    if (!service.pool.AnyPresent()) {
+      RejectWaiting(service, out);
+      continue;
     }
+    DispatchWaiting(service, aNow, out);
+    Shed(service, aNow, out);
   }
   return out;
 }
@@ -546,6 +551,25 @@
   }
 }
 
+/// Rejects all queued requests of a service without servers, as a new one would
+/// be.
+void
+Allocator::RejectWaiting(Service& aService, Allocations& aOut)
+{
+  std::vector<JobKey> rejected;
+  for (const auto& [position, waiting] : aService.backlog.InOrder()) {
+    rejected.push_back(waiting.key);
+    Reject(waiting,
+           RejectReason::kNoServer,
+           AddJitter(kNoServerRetryAfter),
+           "the service has no server any more",
+           aOut);
+  }
+  for (const auto& key : rejected) {
+    aService.backlog.Withdraw(key);
+  }
+}
+
 /// Sends a request if a server is free, or rejects it if none is usable or it
 /// is known to crash servers.
 Allocator::TrySendResult
--- a/src/policy/server_pool.cpp
+++ b/src/policy/server_pool.cpp
@@ -451,11 +451,15 @@
   if (AnyEligible(aJob, aZone, aNow)) {
     return true;
   }
-  const bool present =
-    std::any_of(mServers.begin(), mServers.end(), [](const auto& aEntry) {
-      return !aEntry.second->descriptor.leaving;
-    });
-  return present && aJob.IsUnrestricted();
+  return AnyPresent() && aJob.IsUnrestricted();
+}
+
+bool
+ServerPool::AnyPresent() const
+{
+  return std::any_of(mServers.begin(), mServers.end(), [](const auto& aEntry) {
+    return !aEntry.second->descriptor.leaving;
+  });
 }
 
 int
--- a/tests/planned_silence_process_test.cpp
+++ b/tests/planned_silence_process_test.cpp
@@ -486,5 +486,25 @@
   EXPECT_EQ(mFleet.Engines()[0]->Runs().size(), 2u * kWaiting);
 }
 
+// Guards against requests that wait until their deadline for a service whose
+// last server has left, while new requests for it are refused at once.
+TEST_F(WaitingRequests, AreRefusedWhenTheLastServerLeaves)
+{
+  StartWaiting("/deposits/");
+  mFleet.WriteEntry(*mFleet.Engines()[0], true);
+  const TimePoint left = Clock::now();
+  int refused = 0;
+  for (auto& pending : mPending) {
+    for (auto& each : pending) {
+      const auto result = each.Result();
+      EXPECT_EQ(result.status, CallStatus::kDone);
+      refused += result.response.status == 503 ? 1 : 0;
+    }
+  }
+  EXPECT_GE(refused, 2 * kWaiting - 2);
+  // A VM learns of the entry within a second.
+  EXPECT_LT(Clock::now() - left, Seconds(2));
+}
+
 } // namespace
 } // namespace magnoliatide::tests
