Send no takeover while a pause of all servers ends

What callers saw: nothing, all got whole streams. But a stream whose server was about to continue was sent to another server, which ran it for a moment in vain and saw its run dropped (the attempt counts towards the route's attempts and the retry budget).

Cause: a search that is granted asks the other server for a sign of life, for up to 150 ms. If both servers pause for the same reason, the answer means that the pause is over, also for the first server, whose event arrives a moment later. The takeover was sent at once and abandoned with that event.

Fix: after the sign of life, the request is sent only if the first server stays silent for another 50 ms, and 20 ms more for an event that has arrived during a delay of this VM. The wait ends at once if the first server's answer ends. A takeover starts 900 ms or more into a silence, so callers lose little by it.

Evidence: Silence.AStreamStaysIfItsServerContinuesJustAfterAnother lets the other server continue 5 ms before the first one while it is asked for a sign of life.

--- a/src/forward/takeover.cpp
+++ b/src/forward/takeover.cpp
@@ -20,6 +20,15 @@
 /// it.
 constexpr Duration kStatusTimeout = Milliseconds(150);
 
+/// How long the silent server must stay silent after another one has given a
+/// sign of life. Servers that pause for a common reason do not continue at the
+/// same instant.
+constexpr Duration kSettleTime = Milliseconds(50);
+
+/// Time for an event that has arrived together with the end of the settle time,
+/// after a delay of this VM.
+constexpr Duration kSettleGrace = Milliseconds(20);
+
 /// A live server that does not reject a request within this time has accepted
 /// it: rejections need no slot and come at once. Bounds the time for which two
 /// servers may work on one request.
@@ -37,6 +46,7 @@
   : mParams(aParams)
   , mRequest(std::move(aRequest))
   , mOnAccepted(std::move(aOnAccepted))
+  , mSettleTimer(mRequest->executor)
   , mOverlapTimer(mRequest->executor)
   , mChanged(mRequest->executor)
 {
@@ -124,6 +134,10 @@
 {
   SendEnd end;
   const bool alive = co_await IsAlive();
+  if (alive) {
+    co_await AwaitSettled(kSettleTime);
+    co_await AwaitSettled(kSettleGrace);
+  }
   if (mState == State::kFailing) {
     end.report.result = policy::SendResult::kCancelled;
     co_return end;
@@ -167,6 +181,17 @@
   co_return answered;
 }
 
+/// Waits for a time, unless the search is abandoned or the silent server is
+/// lost by then.
+asio::awaitable<void>
+Takeover::AwaitSettled(Duration aTime)
+{
+  if (mState == State::kSending && !mServerLost) {
+    mSettleTimer.expires_after(aTime);
+    co_await mSettleTimer.async_wait(kNoThrow);
+  }
+}
+
 /// Accepts the takeover after a time unless its server has rejected the request
 /// by then.
 void
@@ -204,6 +229,7 @@
     mState = State::kIdle;
   } else if (mState == State::kSending) {
     mState = State::kFailing;
+    mSettleTimer.cancel();
     if (mSender) {
       mRequest->mayHaveRun = true;
       mSender->Close();
@@ -214,6 +240,8 @@
 asio::awaitable<std::shared_ptr<Sender>>
 Takeover::Take()
 {
+  mServerLost = true;
+  mSettleTimer.cancel();
   while (mState == State::kSending) {
     mChanged.expires_at(asio::steady_timer::time_point::max());
     co_await mChanged.async_wait(kNoThrow);
--- a/src/forward/takeover.h
+++ b/src/forward/takeover.h
@@ -17,9 +17,10 @@
 struct SendEnd;
 
 /// Looks for a server that can continue a stream. The silent server may be
-/// sound and continue at any moment, so its run is ended only once the other
-/// server has accepted the request: it has sent the head of its answer or,
-/// after a sign of life, has not rejected the request for a while. Used on one
+/// sound and continue at any moment, so the request is sent only if it stays
+/// silent for a moment after the other server's sign of life, and its run is
+/// ended only once the other server has accepted the request: it has sent the
+/// head of its answer or has not rejected the request for a while. Used on one
 /// event loop only.
 class Takeover : public std::enable_shared_from_this<Takeover>
 {
@@ -63,6 +64,7 @@
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<SendEnd> Send();
   boost::asio::awaitable<bool> IsAlive();
+  boost::asio::awaitable<void> AwaitSettled(Duration aTime);
   void AcceptAfter(Duration aTime, bool aLast);
   void Accept();
 
@@ -75,6 +77,8 @@
   std::shared_ptr<Sender> mSender; ///< Set while sending and once accepted.
   /// Server that the next search leaves out, or empty.
   std::string mAvoidedServer;
+  bool mServerLost = false; ///< The silent server's answer has ended.
+  boost::asio::steady_timer mSettleTimer;
   boost::asio::steady_timer mOverlapTimer;
   boost::asio::steady_timer mChanged; ///< Cancelled when a send is decided.
 };
--- a/tests/silence_process_test.cpp
+++ b/tests/silence_process_test.cpp
@@ -17,6 +17,10 @@
 /// Longer than the silence after which another server is looked for.
 constexpr Duration kSilence = Milliseconds(1500);
 
+/// Ends while another server, which is looked for after 900 ms of silence, is
+/// given 150 ms for a sign of life.
+constexpr Duration kSilenceUntilProbe = Milliseconds(970);
+
 constexpr int kEventCount = 100;
 constexpr Duration kEventInterval = Milliseconds(10);
 
@@ -123,6 +127,21 @@
   EXPECT_EQ(mFleet.Call(0, Quote(10)).status, CallStatus::kDone);
 }
 
+// Guards against a stream that is sent to another server although its own one
+// is about to continue: both pause, and the other one continues a moment
+// earlier, while it is asked for a sign of life.
+TEST_F(Silence, AStreamStaysIfItsServerContinuesJustAfterAnother)
+{
+  StartWith(2);
+  StartQuotes(1);
+  const std::size_t busy = At(0).Runs().empty() ? 1 : 0;
+  At(1 - busy).FallSilent(kSilenceUntilProbe);
+  At(busy).FallSilent(kSilenceUntilProbe + Milliseconds(5));
+  ExpectCompleteQuotes();
+  EXPECT_EQ(At(busy).Runs().size(), 1u);
+  EXPECT_TRUE(At(1 - busy).Runs().empty());
+}
+
 // Guards against streams that are aborted when their server pauses while a new
 // configuration moves their route to a service without servers.
 TEST_F(Silence, StreamsContinueAfterAPauseBesideAConfigurationChange)
