--- a/tests/harmful_part_process_test.cpp
+++ b/tests/harmful_part_process_test.cpp
@@ -198,5 +198,37 @@
   EXPECT_EQ(SoundShare(), 1);
 }
 
+// Guards against requests that wait for the trial of a suspected part and get
+// no answer, because the trial's server pauses, a change moves their route and
+// the VM that decides stops meanwhile.
+TEST_F(HarmfulParts, RequestsThatWaitForATrialAreAnsweredBesideAPauseAndAChange)
+{
+  Start();
+  while (Crashes() == 0) {
+    mHarmful.push_back(mFleet.StartCall(0, Quote(true)));
+    std::this_thread::sleep_for(Milliseconds(200));
+  }
+  for (auto& engine : mFleet.Engines()) {
+    engine->FallSilent(Milliseconds(1500));
+  }
+  for (std::size_t i = 0; i < 8; ++i) {
+    mHarmful.push_back(mFleet.StartCall(i % 2, Quote(true)));
+    std::this_thread::sleep_for(Milliseconds(20));
+  }
+  RouteConfig moved;
+  moved.service = "elsewhere";
+  mFleet.Publish({ moved }, { TeamConfig() });
+  std::this_thread::sleep_for(Milliseconds(200));
+  mFleet.Vms()[0].process.Signal(SIGTERM);
+  for (auto& pending : mHarmful) {
+    const auto result = pending.Result();
+    EXPECT_EQ(result.status, CallStatus::kDone);
+    const int status = result.response.status;
+    EXPECT_TRUE(status == 502 || status == 503)
+      << status << " " << result.response.body;
+  }
+  EXPECT_TRUE(mFleet.Vms()[0].process.Wait(Seconds(9)));
+}
+
 } // namespace
 } // namespace magnoliatide::tests
--- a/tests/silence_process_test.cpp
+++ b/tests/silence_process_test.cpp
@@ -251,5 +251,25 @@
   EXPECT_EQ(At(1 - busy).Runs().size(), 1u);
 }
 
+// Guards against a stream that is ended before its deadline because the server
+// that took it over pauses as well, and no further server may be tried.
+TEST_F(Silence, AStreamWaitsForASuccessorThatPausesAsWell)
+{
+  StartWith(2, Milliseconds(400));
+  StartQuotes(1);
+  std::this_thread::sleep_for(Milliseconds(300));
+  const std::size_t busy = At(0).Runs().empty() ? 1 : 0;
+  At(busy).FallSilent(Seconds(20));
+  const TimePoint end = Clock::now() + Seconds(2);
+  while (At(1 - busy).Runs().empty() && Clock::now() < end) {
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+  ASSERT_EQ(At(1 - busy).Runs().size(), 1u);
+  // The takeover counts as accepted by then.
+  std::this_thread::sleep_for(Milliseconds(250));
+  At(1 - busy).FallSilent(kSilence);
+  ExpectCompleteQuotes();
+}
+
 } // namespace
 } // namespace magnoliatide::tests
