Add a test of requests that wait for a limited server

While requests wait for the rates that their servers name, the servers pause, the route moves and the VM that decides stops. No fault found.

--- a/tests/server_limit_process_test.cpp
+++ b/tests/server_limit_process_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <set>
 #include <thread>
 
 namespace magnoliatide::tests {
@@ -228,5 +229,45 @@
   }
 }
 
+// Guards against requests that wait for a limited server and get no answer, or
+// are refused although they run, because the servers pause, a change moves
+// their route and the VM that decides stops meanwhile.
+TEST_F(ServerLimits, RequestsThatWaitAreAnsweredBesideAPauseAndAChange)
+{
+  Start();
+  for (auto& engine : mFleet.Engines()) {
+    engine->NameRateLimit("2.0");
+  }
+  Send({ 0, 1, 2 }, Seconds(2));
+  const auto decides = DecidingVm();
+  ASSERT_LT(decides, mFleet.Vms().size());
+  for (auto& engine : mFleet.Engines()) {
+    engine->FallSilent(Milliseconds(1500));
+  }
+  Send({ 0, 1, 2 }, Milliseconds(300));
+  RouteConfig moved;
+  moved.service = "elsewhere";
+  mFleet.Publish({ moved }, { TeamConfig() });
+  mFleet.Vms()[decides].process.Signal(SIGTERM);
+  std::vector<http::CallResult> results;
+  for (auto& pending : mPending) {
+    results.push_back(pending.Result());
+  }
+  std::set<std::string> ran;
+  for (auto& engine : mFleet.Engines()) {
+    for (const auto& run : engine->Runs()) {
+      ran.insert(run.target);
+    }
+  }
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    const auto path = "/quotes/" + std::to_string(i + 1);
+    const int status = results[i].response.status;
+    EXPECT_EQ(results[i].status, CallStatus::kDone) << path;
+    EXPECT_EQ(status, ran.count(path) > 0 ? 200 : 503)
+      << path << " " << results[i].response.body;
+  }
+  EXPECT_TRUE(mFleet.Vms()[decides].process.Wait(Seconds(9)));
+}
+
 } // namespace
 } // namespace magnoliatide::tests
