Bound the memory of streams that callers do not read

Callers that read slowly, or not at all, while their streams came fast cost the VM about 700 KB each: 300 of them 215 MB of its 260 MB. Its descriptors allow some 2,000.

Cause: the events of a stream were bounded at 256 KB a caller, twice with the batch that is being written, and were copied on the way; no bound considered the number of callers.

A caller now buffers 8 KB besides the batch that is being written. A full buffer is written at once, so that the delay of batches does not limit the speed of a stream. Pushed events are moved instead of copied, bytes are read into the buffer of the reader, and a read takes 8 KB at once.

AFullBufferIsWrittenWithoutDelay guards the speed.

--- a/src/forward/event_writer.cpp
+++ b/src/forward/event_writer.cpp
@@ -13,8 +13,9 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
-/// Bytes buffered for a caller above which reading from the server pauses.
-constexpr std::size_t kMaxPendingBytes = 256 * 1024;
+/// Bytes buffered for a caller above which they are written without delay and
+/// reading from the server pauses.
+constexpr std::size_t kMaxPendingBytes = 8 * 1024;
 
 } // namespace
 
@@ -39,7 +40,13 @@
 asio::awaitable<bool>
 EventWriter::Push(std::string aEvents)
 {
-  mPending += aEvents;
+  if (mPending.empty()) {
+    mPending = std::move(aEvents);
+  } else {
+    mPending += aEvents;
+    // The wait below may be long.
+    aEvents = std::string();
+  }
   ScheduleWrite();
   while (mOpen && mPending.size() > kMaxPendingBytes) {
     mWriteDone.expires_at(asio::steady_timer::time_point::max());
@@ -51,11 +58,13 @@
 void
 EventWriter::ScheduleWrite()
 {
-  if (mSettled || mWriting || mWriteScheduled || mPending.empty() || !mOpen) {
+  const bool full = mPending.size() > kMaxPendingBytes;
+  if (mSettled || mWriting || (mWriteScheduled && !full) || mPending.empty() ||
+      !mOpen) {
     return;
   }
   const TimePoint due = mLastWrite + mMaxDelay;
-  if (Clock::now() >= due) {
+  if (full || Clock::now() >= due) {
     mWriting = true;
     asio::co_spawn(mExecutor, Write(), asio::detached);
     return;
--- a/src/forward/event_writer_test.cpp
+++ b/src/forward/event_writer_test.cpp
@@ -30,10 +30,12 @@
 };
 
 asio::awaitable<void>
-PushAll(std::shared_ptr<EventWriter> aWriter, int aEvents)
+PushAll(std::shared_ptr<EventWriter> aWriter,
+        int aEvents,
+        std::string aEvent = "e")
 {
   for (int i = 0; i < aEvents; ++i) {
-    co_await aWriter->Push("e");
+    co_await aWriter->Push(aEvent);
   }
 }
 
@@ -52,6 +54,17 @@
   EXPECT_LE(exchange.writes, 2);
 }
 
+// Guards against a stream whose speed is limited to a full buffer in each
+// delay.
+TEST_F(EventWriterTest, AFullBufferIsWrittenWithoutDelay)
+{
+  constexpr int kEvents = 64;
+  const std::string event(4096, 'e');
+  Spawn(PushAll(writer, kEvents, event));
+  loop.run_for(kDelay * 3);
+  EXPECT_EQ(exchange.text.size(), kEvents * event.size());
+}
+
 // Guards against a write to a destroyed exchange: the write timer expires in
 // the loop iteration in which the answer ends, so its handler is already queued
 // and cannot be cancelled.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -25,7 +25,7 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 /// Size of one read.
-constexpr std::size_t kReadBufferBytes = 16 * 1024;
+constexpr std::size_t kReadBufferBytes = 8 * 1024;
 /// Bytes of one connection that are received but not parsed. Also bounds what
 /// the parser needs at once: a chunk's size line or the trailers.
 constexpr std::size_t kMaxUnparsedBytes = 32 * 1024;
@@ -219,18 +219,19 @@
       if (mParseError) {
         co_return HandleError(mParseError);
       }
-      mReadBuffer.resize(kReadBufferBytes);
+      aBytes.resize(kReadBufferBytes);
       auto& body = mParser->get().body();
-      body.data = mReadBuffer.data();
-      body.size = mReadBuffer.size();
+      body.data = aBytes.data();
+      body.size = aBytes.size();
       body.more = true;
       const auto [error, bytes] =
         co_await bhttp::async_read_some(mStream, mBuffer, *mParser, kNoThrow);
       if (error && error != bhttp::error::need_buffer) {
+        aBytes.clear();
         co_return HandleError(error);
       }
       const auto parsed = bytes + ParseReceived();
-      aBytes.assign(mReadBuffer.data(), mReadBuffer.size() - body.size);
+      aBytes.resize(aBytes.size() - body.size);
       mFramingBytes += parsed - aBytes.size();
       if (mFramingBytes > kMaxFramingBytes) {
         co_return HandleError(bhttp::error::bad_chunk);
@@ -360,7 +361,7 @@
     }
   }
 
-  /// Parses what was received already, as far as it fits into the read buffer.
+  /// Parses what was received already, as far as it fits into the buffer.
   /// One operation for each chunk would make small chunks expensive. Returns
   /// the number of bytes.
   std::size_t ParseReceived()
@@ -414,7 +415,6 @@
   beast::flat_buffer mBuffer{ kMaxUnparsedBytes };
   std::string mOutgoing;
   std::optional<bhttp::response_parser<bhttp::buffer_body>> mParser;
-  std::vector<char> mReadBuffer;
   std::size_t mFramingBytes = 0; ///< Of chunks and trailers, in one response.
   ErrorCode mParseError; ///< Of the bytes after those that were returned.
   /// Whether the last request was written completely, and its response was read
--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -453,6 +453,8 @@
         return { chunked, Chunk(": x\n\n") };
       case EndlessPart::kEmptyLines:
         return { chunked, Chunk("\n") };
+      case EndlessPart::kEvents:
+        return { chunked, Chunk("data: " + std::string(1000, 'x') + "\n\n") };
     }
     return {};
   }
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -99,6 +99,7 @@
   kEvent,       ///< An event without an empty line.
   kComments,    ///< Events that consist of a comment.
   kEmptyLines,
+  kEvents, ///< Sound events. Not a part that AnswerWithoutEnd() selects.
 };
 constexpr int kEndlessParts = 15;
 
--- a/tests/strange_answers_process_test.cpp
+++ b/tests/strange_answers_process_test.cpp
@@ -651,5 +651,52 @@
   RecordProperty("IdleMegabytes", static_cast<int>(idle));
 }
 
+// Guards against a VM that uses up its memory for callers that do not read
+// their streams: at the largest number of connections, all of them together
+// must fit into the VM.
+TEST_F(StrangeAnswers, UnreadStreamsUseLittleMemory)
+{
+  constexpr int kStreams = 300;
+  constexpr double kMegabytesPerConnection = kVmMegabytes / 4100;
+  auto& engine = Add("i-1", "language", 400);
+  Add("n-1", "notes");
+  Start();
+  auto& vm = mFleet.Vms()[0];
+  const double idle = load::UsageOf(vm.process.Id()).residentMegabytes;
+  engine.AnswerWithoutEnd(Milliseconds(0), EndlessPart::kEvents);
+  boost::asio::io_context loop;
+  std::vector<boost::asio::ip::tcp::socket> callers;
+  for (int i = 0; i < kStreams; ++i) {
+    auto& caller = callers.emplace_back(loop);
+    caller.open(boost::asio::ip::tcp::v4());
+    caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    caller.connect({ boost::asio::ip::make_address(vm.callerAddress.host),
+                     vm.callerAddress.port });
+    const auto request = mFleet.RequestOf(NextCall("quotes", 8000));
+    std::string text = "POST " + request.target + " HTTP/1.1\r\n";
+    for (const auto& header : request.headers) {
+      text += header.name + ": " + header.value + "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(request.body.size()) +
+            "\r\n\r\n" + request.body;
+    boost::asio::write(caller, boost::asio::buffer(text));
+  }
+  double peak = 0;
+  const TimePoint end = Clock::now() + Seconds(5);
+  while (Clock::now() < end) {
+    const auto note = NextCall("notes", 1000);
+    EXPECT_EQ(mFleet.Call(0, note).response.body, ExpectedBody(note));
+    peak = std::max(peak, load::UsageOf(vm.process.Id()).residentMegabytes);
+    std::this_thread::sleep_for(Milliseconds(20));
+  }
+  EXPECT_EQ(engine.Runs().size(), static_cast<std::size_t>(kStreams));
+  ASSERT_TRUE(vm.process.Running());
+  // Each stream has its caller and its server.
+  EXPECT_LT(peak - idle, 2 * kStreams * kMegabytesPerConnection);
+  EXPECT_LT(peak, kVmMegabytes);
+  RecordProperty("PeakMegabytes", static_cast<int>(peak));
+  RecordProperty("IdleMegabytes", static_cast<int>(idle));
+}
+
 } // namespace
 } // namespace magnoliatide::tests
