Grant only the shares of VMs that ask while the first VM is in doubt

Cause: suspected VMs rank after the others as coordinators, and a VM that ranks first granted the shares of all live VMs, suspected ones included. A VM that was asked once in place of the first VM granted all shares as well.

Fix: CoordinatorShares, taken out of DispatchService. A VM that ranks first, no matter which VMs are suspected, grants the shares of the VMs that it does not suspect. Any other VM grants its own share and those of the VMs that have asked it within a second. The shares of two VMs that both decide then no longer include the same VM, but for those that have just turned from one to the other. Slots are shared as before.

In calm the first VM grants everything, as before. After a crash of the first VM, the next one grants the shares of all VMs that turn to it, and after a planned stop everything (unit tests). A VM that sends nothing for a second does not count until the crash is confirmed.

Evidence: three unit tests of partitions fail with the previous rule in the same class (shares 1 instead of 1/6, 4/6 and 3/6; a fourth, of the crash, granted the dead VM's share too) and pass now.

--- /dev/null
+++ b/src/fleet/coordinator_shares_test.cpp
@@ -0,0 +1,131 @@
+// The shares of a VM in calm, during a takeover and during a partition.
+#include "magnoliatide/fleet/coordinator_shares.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace magnoliatide::fleet {
+namespace {
+
+constexpr TimePoint kStart = TimePoint(Seconds(1000));
+constexpr std::size_t kVms = 6;
+constexpr double kOwn = 1.0 / kVms;
+
+/// Returns all VMs in the order of their rank. The process of the first is 1.
+std::vector<wire::MemberRecord>
+AllAlive()
+{
+  std::vector<wire::MemberRecord> records;
+  for (std::size_t i = 1; i <= kVms; ++i) {
+    wire::MemberRecord record;
+    record.slot = "z/" + std::to_string(i);
+    record.process = i;
+    record.incarnation = i;
+    records.push_back(record);
+  }
+  return records;
+}
+
+TEST(CoordinatorShares, TheFirstVmGrantsEverything)
+{
+  CoordinatorShares shares(1);
+  shares.SetMembers(AllAlive(), kVms);
+  EXPECT_EQ(shares.SlotShare(kStart), 1.0);
+  EXPECT_EQ(shares.LimitShare(kStart), 1.0);
+}
+
+TEST(CoordinatorShares, AVmThatNoOtherAsksGrantsItsOwnShare)
+{
+  CoordinatorShares shares(3);
+  shares.SetMembers(AllAlive(), kVms);
+  EXPECT_DOUBLE_EQ(shares.SlotShare(kStart), kOwn);
+  EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), kOwn);
+}
+
+// Guards against a quota that is exceeded in a partition: a VM that is cut off
+// and suspects those before it granted the whole quota.
+TEST(CoordinatorShares, AVmThatIsCutOffGrantsItsOwnShareWhileItSuspectsOthers)
+{
+  CoordinatorShares shares(3);
+  auto members = AllAlive();
+  for (const std::size_t suspect : { 0, 1, 3, 4, 5 }) {
+    members[suspect].state = wire::MemberState::kSuspect;
+    shares.SetMembers(members, kVms);
+    EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), kOwn) << suspect;
+  }
+}
+
+// Guards against a quota that is exceeded in a partition: the first VM, cut
+// off, granted the shares of VMs that it suspects.
+TEST(CoordinatorShares, TheFirstVmDoesNotGrantTheSharesOfSuspectedVms)
+{
+  CoordinatorShares shares(1);
+  auto members = AllAlive();
+  members[4].state = wire::MemberState::kSuspect;
+  members[5].state = wire::MemberState::kSuspect;
+  shares.SetMembers(members, kVms);
+  EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), 4 * kOwn);
+  EXPECT_EQ(shares.SlotShare(kStart), 1.0);
+}
+
+// Guards against a quota that is exceeded in a partition: a VM that two others
+// turned to granted the shares of all, while the first VM served the rest.
+TEST(CoordinatorShares, AVmInPlaceOfTheFirstGrantsTheSharesOfThoseThatAskIt)
+{
+  CoordinatorShares shares(2);
+  shares.SetMembers(AllAlive(), kVms);
+  shares.RecordRequest(3, kStart);
+  shares.RecordRequest(3, kStart);
+  shares.RecordRequest(4, kStart);
+  EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), 3 * kOwn);
+  EXPECT_EQ(shares.SlotShare(kStart), 1.0);
+  EXPECT_DOUBLE_EQ(shares.LimitShare(kStart + Seconds(2)), kOwn);
+}
+
+// Guards against requests that are refused below their quota after the first VM
+// has crashed: all others ask the next one at once.
+TEST(CoordinatorShares, ATakeoverAfterACrashGrantsTheSharesOfAllOthers)
+{
+  CoordinatorShares shares(2);
+  auto members = AllAlive();
+  shares.SetMembers(members, kVms);
+  for (std::uint64_t vm = 3; vm <= kVms; ++vm) {
+    shares.RecordRequest(vm, kStart);
+  }
+  EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), 5 * kOwn);
+  members[0].state = wire::MemberState::kSuspect;
+  shares.SetMembers(members, kVms);
+  EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), 5 * kOwn);
+  members.erase(members.begin());
+  shares.SetMembers(members, kVms);
+  EXPECT_DOUBLE_EQ(shares.LimitShare(kStart + Seconds(2)), 5 * kOwn);
+}
+
+// Guards against requests that are refused below their quota after a planned
+// restart of the first VM.
+TEST(CoordinatorShares, ATakeoverAfterAPlannedStopGrantsEverything)
+{
+  CoordinatorShares shares(2);
+  auto members = AllAlive();
+  members.erase(members.begin());
+  shares.SetMembers(members, kVms - 1);
+  EXPECT_EQ(shares.LimitShare(kStart), 1.0);
+}
+
+TEST(CoordinatorShares, AVmThatLeavesServesThoseThatStillAskIt)
+{
+  CoordinatorShares shares(1);
+  auto members = AllAlive();
+  shares.SetMembers(members, kVms);
+  for (std::uint64_t vm = 2; vm <= kVms; ++vm) {
+    shares.RecordRequest(vm, kStart);
+  }
+  members.erase(members.begin());
+  shares.SetMembers(members, kVms - 1);
+  EXPECT_EQ(shares.LimitShare(kStart), 1.0);
+  EXPECT_DOUBLE_EQ(shares.LimitShare(kStart + Seconds(2)), 1.0 / (kVms - 1));
+}
+
+} // namespace
+} // namespace magnoliatide::fleet
--- a/src/node/dispatch_service.cpp
+++ b/src/node/dispatch_service.cpp
@@ -18,10 +18,6 @@
 constexpr Duration kBusyTickPeriod = Milliseconds(15);
 constexpr Duration kIdleTickPeriod = Milliseconds(250);
 
-/// How long this VM counts as a coordinator of other VMs after the last request
-/// from one of them.
-constexpr Duration kRemoteRequestLifetime = Seconds(1);
-
 /// A request whose assigned server is leaving or unknown to this VM is refused
 /// once this number of servers is excluded for it, those of failed sends
 /// included.
@@ -54,6 +50,7 @@
   : mParams(std::move(aParams))
   , mCoordinator(mParams.coordinator)
   , mClient(mParams.client, mCoordinator, Clock::now())
+  , mShares(mParams.client.self)
   , mTimer(*mParams.loop)
 {
   ArmTimer();
@@ -83,29 +80,17 @@
     candidates.push_back(
       { record.process, ZoneOf(record.slot), record.address });
   }
-  mElected =
-    candidates.empty() || candidates.front().process == mParams.client.self;
-  mLiveVms = std::max<std::size_t>(aLive.size(), 1);
-  mExpectedVms = std::max(aExpected, mLiveVms);
+  mShares.SetMembers(aLive, aExpected);
   mClient.SetCandidates(std::move(candidates), Clock::now());
   UpdateShares();
   ScheduleFlush();
 }
 
-/// A VM that coordinates other VMs may grant all slots, and of quotas and retry
-/// budgets the share of the VMs that it sees as live: another coordinator may
-/// serve the rest. A VM that coordinates only itself grants its own share.
 void
 DispatchService::UpdateShares()
 {
-  const bool coordinatesOthers =
-    mElected || (mLastRemoteRequest != TimePoint{} &&
-                 Clock::now() - mLastRemoteRequest < kRemoteRequestLifetime);
-  const double own = 1.0 / static_cast<double>(mExpectedVms);
-  const double visible =
-    static_cast<double>(mLiveVms) / static_cast<double>(mExpectedVms);
-  mCoordinator.SetShares(coordinatesOthers ? 1.0 : own,
-                         coordinatesOthers ? visible : own);
+  const auto now = Clock::now();
+  mCoordinator.SetShares(mShares.SlotShare(now), mShares.LimitShare(now));
 }
 
 void
@@ -130,7 +115,7 @@
   const auto now = Clock::now();
   const auto vm = aHeader.sender.process;
   if (const auto* request = std::get_if<wire::DispatchRequest>(&aBody)) {
-    mLastRemoteRequest = now;
+    mShares.RecordRequest(vm, now);
     UpdateShares();
     mCoordinator.Submit(vm, ZoneOf(aHeader.sender.slot), *request, now);
   } else if (const auto* reply = std::get_if<wire::DispatchReply>(&aBody)) {
--- a/src/node/dispatch_service.h
+++ b/src/node/dispatch_service.h
@@ -5,6 +5,7 @@
 
 #include "peer_link.h"
 
+#include "magnoliatide/fleet/coordinator_shares.h"
 #include "magnoliatide/fleet/dispatch_client.h"
 #include "magnoliatide/forward/dispatcher.h"
 
@@ -87,14 +88,10 @@
   DispatchServiceParams mParams;
   fleet::DispatchCoordinator mCoordinator;
   fleet::DispatchClient mClient;
+  fleet::CoordinatorShares mShares;
   boost::asio::steady_timer mTimer;
   bool mFlushPosted = false;
   bool mTimerFast = false;
-  bool mElected = true; ///< This VM ranks first among the live ones.
-  std::size_t mLiveVms = 1;
-  std::size_t mExpectedVms = 1;
-  /// When the last dispatch request of another VM arrived.
-  TimePoint mLastRemoteRequest{};
 };
 
 } // namespace magnoliatide::node
