Bound the memory of messages between VMs

A VM took the memory of a whole message, up to 4 MB, for each length that arrived at its address for other VMs, before any byte of the message and on any number of connections.

Frames are now read in parts that double, so that a length alone takes 4 KB, and all frames that are being read or served may use 32 MB together. A frame beyond that is dropped as a lost one is, and its sender repeats it.

Evidence: UnfinishedMessagesOfVmsUseLittleMemory with the program before: 643 MB with 150 connections that had sent a quarter of a message, on a VM of 260 MB; with this change it passed.

--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -7,6 +7,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace magnoliatide::node {
 
 namespace asio = boost::asio;
@@ -78,8 +80,46 @@
   co_return !error;
 }
 
+/// Memory of all frames that are being read or served.
+constexpr std::size_t kMaxFrameMemory = 32 * 1024 * 1024;
+/// The first read of a frame. Later ones double what was read, so that a length
+/// without its bytes takes little memory.
+constexpr std::size_t kFirstFrameBytes = 4096;
+
+/// Counts a frame's bytes as used until it is destroyed.
+class FrameMemory
+{
+public:
+  explicit FrameMemory(std::shared_ptr<std::size_t> aUsed)
+    : mUsed(std::move(aUsed))
+  {
+  }
+
+  ~FrameMemory() { *mUsed -= mBytes; }
+
+  FrameMemory(const FrameMemory&) = delete;
+  FrameMemory& operator=(const FrameMemory&) = delete;
+
+  /// Returns false if the memory is used up.
+  bool Add(std::size_t aBytes)
+  {
+    if (*mUsed + aBytes > kMaxFrameMemory) {
+      return false;
+    }
+    *mUsed += aBytes;
+    mBytes += aBytes;
+    return true;
+  }
+
+private:
+  std::shared_ptr<std::size_t> mUsed;
+  std::size_t mBytes = 0;
+};
+
 asio::awaitable<bool>
-ReadFrame(asio::ip::tcp::socket& aSocket, std::string& aBytes)
+ReadFrame(asio::ip::tcp::socket& aSocket,
+          FrameMemory& aMemory,
+          std::string& aBytes)
 {
   std::array<unsigned char, 4> length{};
   const auto [failed, read] =
@@ -92,11 +132,22 @@
   if (failed || size > wire::kMaxFrameBytes) {
     co_return false;
   }
-  aBytes.resize(size);
-  const auto [error, count] =
-    co_await asio::async_read(aSocket, asio::buffer(aBytes), kNoThrow);
-  static_cast<void>(count);
-  co_return !error;
+  aBytes.clear();
+  while (aBytes.size() < size) {
+    const auto have = aBytes.size();
+    const auto more = std::min(std::max(have, kFirstFrameBytes), size - have);
+    if (!aMemory.Add(more)) {
+      co_return false;
+    }
+    aBytes.resize(have + more);
+    const auto [error, count] = co_await asio::async_read(
+      aSocket, asio::buffer(aBytes.data() + have, more), kNoThrow);
+    static_cast<void>(count);
+    if (error) {
+      co_return false;
+    }
+  }
+  co_return true;
 }
 
 } // namespace
@@ -280,8 +331,9 @@
 PeerLink::Serve(Tcp::socket aSocket)
 {
   Deadline deadline(aSocket, kServeTimeout);
+  FrameMemory memory(mFrameBytes);
   std::string bytes;
-  if (!co_await ReadFrame(aSocket, bytes)) {
+  if (!co_await ReadFrame(aSocket, memory, bytes)) {
     co_return;
   }
   mMetrics.Count("peer_bytes_received_total", {}, bytes.size());
@@ -325,9 +377,10 @@
   }
   auto request = mCodec.Encode(wire::Frame{ NewHeader(), std::move(aBody) });
   mMetrics.Count("peer_bytes_sent_total", {}, request.size());
+  FrameMemory memory(mFrameBytes);
   std::string bytes;
   const bool written = co_await WriteFrame(aSocket, std::move(request));
-  if (!written || !co_await ReadFrame(aSocket, bytes)) {
+  if (!written || !co_await ReadFrame(aSocket, memory, bytes)) {
     co_return std::nullopt;
   }
   mMetrics.Count("peer_bytes_received_total", {}, bytes.size());
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -15,6 +15,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -77,6 +78,9 @@
   wire::ReplayFilter mReplayFilter;
   std::uint64_t mEnvironment; ///< Hash of its name.
   std::uint64_t mSequence = 0;
+  /// Of frames that are being read or served. Their coroutines may outlive this
+  /// object.
+  std::shared_ptr<std::size_t> mFrameBytes = std::make_shared<std::size_t>(0);
   Udp::socket mSocket;
   Tcp::acceptor mAcceptor;
   std::string mLocalHost; ///< Source address of calls.
--- a/tests/strange_answers_process_test.cpp
+++ b/tests/strange_answers_process_test.cpp
@@ -698,5 +698,45 @@
   RecordProperty("IdleMegabytes", static_cast<int>(idle));
 }
 
+// Guards against a VM that takes the memory of a whole message for each length
+// that arrives at its address for other VMs.
+TEST_F(StrangeAnswers, UnfinishedMessagesOfVmsUseLittleMemory)
+{
+  constexpr int kConnections = 150;
+  /// Memory of all messages; strings may have twice the size of their bytes.
+  constexpr double kMegabytesOfMessages = 2 * 32;
+  constexpr std::size_t kMessageBytes = 4 * 1024 * 1024;
+  Add("n-1", "notes");
+  Start();
+  auto& vm = mFleet.Vms()[0];
+  const double idle = load::UsageOf(vm.process.Id()).residentMegabytes;
+  std::string text(4, '\0');
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    text[i] = static_cast<char>(kMessageBytes >> (8 * (3 - i)));
+  }
+  text.append(kMessageBytes / 4, 'x');
+  boost::asio::io_context loop;
+  std::vector<boost::asio::ip::tcp::socket> peers;
+  for (int i = 0; i < kConnections; ++i) {
+    auto& peer = peers.emplace_back(loop);
+    peer.connect({ boost::asio::ip::make_address(vm.peerAddress.host),
+                   vm.peerAddress.port });
+    // The VM may have closed the connection.
+    boost::system::error_code ignored;
+    boost::asio::write(peer, boost::asio::buffer(text), ignored);
+  }
+  double peak = 0;
+  const TimePoint end = Clock::now() + Seconds(1);
+  while (Clock::now() < end) {
+    const auto note = NextCall("notes", 1000);
+    EXPECT_EQ(mFleet.Call(0, note).response.body, ExpectedBody(note));
+    peak = std::max(peak, load::UsageOf(vm.process.Id()).residentMegabytes);
+  }
+  ASSERT_TRUE(vm.process.Running());
+  EXPECT_LT(peak - idle, kMegabytesOfMessages);
+  EXPECT_LT(peak, kVmMegabytes);
+  RecordProperty("PeakMegabytes", static_cast<int>(peak));
+}
+
 } // namespace
 } // namespace magnoliatide::tests
