Keep what was received of an incomplete body that is not counted

What callers of the client saw: an empty body after a broken answer, where they got its beginning before. BrokenAnswers.AStreamThatEndsInsideAnEventIsNotComplete and AnErrorOfTheNextServerIsNotPartOfTheStream failed with it: they check that the part that arrived belongs to the stream.

Cause: with the new memory for bodies, every body was dropped on an error. Only counted ones have to be, since their share is returned.

--- a/include/magnoliatide/http/client.h
+++ b/include/magnoliatide/http/client.h
@@ -78,7 +78,8 @@
   /// @param aMemory Receives the share of memory that the body uses. Without
   ///     it, the body is not counted.
   /// @return kTooLarge if the rest exceeds aMaxBytes or gives way to others.
-  ///     With a status other than kDone, the body is empty and has no share.
+  ///     With a status other than kDone, a counted body is empty and has no
+  ///     share; one that is not counted holds what was received.
   virtual boost::asio::awaitable<CallStatus> ReadRest(
     std::string& aBody,
     std::size_t aMaxBytes,
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -259,11 +259,9 @@
     if (gaveWay && !mClosedLocally) {
       status = CallStatus::kTooLarge;
     }
-    if (status != CallStatus::kDone) {
+    if (status != CallStatus::kDone && aMemory) {
       aBody = std::string();
-      if (aMemory) {
-        aMemory->Clear();
-      }
+      aMemory->Clear();
     }
     co_return status;
   }
