Return a stream also if its successor breaks it off

What callers saw: a stream whose server paused, and which another server had taken over, was aborted if that server closed the connection, broke its answer off or sent what is no answer (result=cut, then reason=lost), although the first server was sound and went on.

Cause: the stream returned only after an answer that rejects it.

The stream returns after any end of its successor but an answer, the caller's leave and the deadline.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -54,19 +54,6 @@
   return aRequest.writer ? "aborted" : "complete";
 }
 
-/// Returns whether a server that has taken a stream over has ended its send
-/// with an answer that does not continue it.
-bool
-HasRejected(const SendEnd& aEnd)
-{
-  const auto result = aEnd.report.result;
-  return aEnd.outcome != SendOutcome::kAnswered &&
-         (result == policy::SendResult::kFailed ||
-          result == policy::SendResult::kNotRun ||
-          result == policy::SendResult::kFull ||
-          result == policy::SendResult::kMoved);
-}
-
 } // namespace
 
 namespace {
@@ -207,10 +194,9 @@
 asio::awaitable<void>
 Forwarder::Core::Serve(RequestPointer aRequest)
 {
-  bool rejected = false; // By a server that had taken the stream over.
   while (!aRequest->callerDisconnected) {
     Decision decision = co_await AwaitDecision(aRequest);
-    if (!decision.send && rejected && PrepareReturn(*aRequest)) {
+    if (!decision.send && PrepareReturn(*aRequest)) {
       continue;
     }
     if (aRequest->callerDisconnected) {
@@ -249,9 +235,8 @@
     }
     aRequest->job.resumes = aRequest->writer != nullptr;
     aRequest->job.failed = end.outcome == SendOutcome::kFailed;
-    rejected = HasRejected(end);
     if (aRequest->mayHaveRun && !aRequest->MayRetry()) {
-      if (rejected && PrepareReturn(*aRequest)) {
+      if (PrepareReturn(*aRequest)) {
         continue;
       }
       co_await FailUnresolved(aRequest, end.detail);
--- a/tests/silence_process_test.cpp
+++ b/tests/silence_process_test.cpp
@@ -271,5 +271,48 @@
   ExpectCompleteQuotes();
 }
 
+class BrokenSuccessor
+  : public Silence
+  , public ::testing::WithParamInterface<EngineFault>
+{};
+
+// Guards against a stream that is aborted because its server pauses and the one
+// that continues the stream breaks it off: the first one is sound.
+TEST_P(BrokenSuccessor, ReturnsTheStreamToItsServer)
+{
+  // The end comes later than a rejection may.
+  StartWith(2, Milliseconds(400));
+  StartQuotes(1);
+  std::this_thread::sleep_for(Milliseconds(300));
+  const std::size_t busy = At(0).Runs().empty() ? 1 : 0;
+  At(1 - busy).SetFault(GetParam());
+  At(busy).FallSilent(kSilence);
+  ExpectCompleteQuotes();
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults,
+                         BrokenSuccessor,
+                         ::testing::Values(EngineFault::kLost,
+                                           EngineFault::kCut,
+                                           EngineFault::kGarbage,
+                                           EngineFault::kUnsigned,
+                                           EngineFault::kFalsePromise),
+                         [](const auto& aInfo) {
+                           return "Fault" +
+                                  std::to_string(static_cast<int>(aInfo.param));
+                         });
+
+// Guards against a request that is sent to a server once more although that
+// server, which was silent before, has itself answered it with an error.
+TEST_F(Silence, AServerThatFailedARequestDoesNotGetItAgain)
+{
+  StartWith(2, Milliseconds(1000));
+  At(0).SetFault(EngineFault::kFailed);
+  At(1).SetFault(EngineFault::kFailed);
+  const auto result = mFleet.Call(0, Quote(0));
+  EXPECT_EQ(result.response.status, 500);
+  EXPECT_EQ(At(0).Runs().size() + At(1).Runs().size(), 2u);
+}
+
 } // namespace
 } // namespace magnoliatide::tests
