Keep begun requests in the queue when the last server leaves

What callers could see: a stream that had begun, and waited for a server to continue it, was aborted when the last server of its service left a moment before the one that replaced it was there.

Cause: the queue of a service without servers was refused as a whole. Requests that have reached a server now wait on, until their deadline at most.

--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -492,7 +492,6 @@
     }
     if (!service.pool.AnyPresent()) {
       RejectWaiting(service, out);
-      continue;
     }
     DispatchWaiting(service, aNow, out);
     Shed(service, aNow, out);
@@ -551,13 +550,17 @@
   }
 }
 
-/// Rejects all queued requests of a service without servers, as a new one would
-/// be.
+/// Rejects the queued requests of a service without servers, as new ones would
+/// be. Those that have reached a server wait on: they may have begun, and another
+/// server may replace the last one in time.
 void
 Allocator::RejectWaiting(Service& aService, Allocations& aOut)
 {
   std::vector<JobKey> rejected;
   for (const auto& [position, waiting] : aService.backlog.InOrder()) {
+    if (waiting.job.serversReached > 0) {
+      continue;
+    }
     rejected.push_back(waiting.key);
     Reject(waiting,
            RejectReason::kNoServer,
--- a/src/policy/allocator_load_test.cpp
+++ b/src/policy/allocator_load_test.cpp
@@ -358,6 +358,37 @@
   EXPECT_FALSE(SubmitJob({ "a" }, 2, "a").send);
 }
 
+// Guards against a stream that has begun and is given up while it waits,
+// because the last server leaves a moment before the one that replaces it is
+// there.
+TEST_F(SilentServer, AWaitingStreamIsContinuedByAServerThatReplacesTheLast)
+{
+  const auto rosterOf = [](const char* aId, bool aLeaving) {
+    routing::Server server;
+    server.id = aId;
+    server.service = "s";
+    server.zone = "z";
+    server.slots = 4;
+    server.leaving = aLeaving;
+    return routing::Roster{ { server.id, server } };
+  };
+  mAllocator.SetServers(rosterOf("a", false), mNow);
+  for (int i = 1; i < 4; ++i) {
+    ASSERT_TRUE(SubmitJob({}, 0).send);
+  }
+  // Its server was cut.
+  ASSERT_EQ(SubmitJob({ "x" }, 1).key.job, 0u);
+  const auto waiting = mLastId;
+  for (const auto& each : mAllocator.SetServers(rosterOf("a", true), mNow)) {
+    EXPECT_NE(each.key.job, waiting) << each.why;
+  }
+  const auto later = mNow + Milliseconds(300);
+  const auto sent = mAllocator.SetServers(rosterOf("c", false), later);
+  ASSERT_EQ(sent.size(), 1u);
+  EXPECT_TRUE(sent.front().send);
+  EXPECT_EQ(sent.front().key.job, waiting);
+}
+
 // Guards against a server that loses its slots although it keeps its requests.
 TEST_F(SilentServer, KeepsItsRequest)
 {
