Skip requests of a busy server when the queue is scanned

What callers could see: requests that wait although a server is free, behind many that may only be sent to another server.

Cause: a pass examines a bounded number of queued requests, and those that may only return to one server used up the number. They are now skipped once that server is found busy.

--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -513,9 +513,14 @@
   std::vector<JobKey> decided;
   // Caller zones from which no free server is usable.
   std::set<std::string> busyZones;
+  // Servers that are not free, of requests that may not be sent to another one.
+  std::set<std::string> busyServers;
   std::size_t scanned = 0;
   int free = aService.pool.FreeSlots(aNow);
   for (const auto& [position, waiting] : aService.backlog.InOrder()) {
+    if (busyServers.count(waiting.job.onlyServer) > 0) {
+      continue;
+    }
     if (free <= 0 || ++scanned > kMaxScannedPerPass) {
       break;
     }
@@ -529,6 +534,9 @@
     } else if (result == TrySendResult::kAllBusy &&
                waiting.job.IsUnrestricted()) {
       busyZones.insert(waiting.zone);
+    } else if (result == TrySendResult::kAllBusy &&
+               !waiting.job.onlyServer.empty()) {
+      busyServers.insert(waiting.job.onlyServer);
     }
   }
   aService.pool.SetQueueDepth(0);
--- a/src/policy/allocator_load_test.cpp
+++ b/src/policy/allocator_load_test.cpp
@@ -358,6 +358,37 @@
   EXPECT_FALSE(SubmitJob({ "a" }, 2, "a").send);
 }
 
+// Guards against free slots that stay idle, and requests that wait for them,
+// behind requests that may only be sent to another server.
+TEST_F(SilentServer, DoesNotHoldUpRequestsForOtherServers)
+{
+  constexpr int kReturning = 60;
+  constexpr int kSlots = 4;
+  std::vector<JobKey> atB;
+  for (int i = 1; i < kSlots; ++i) {
+    ASSERT_TRUE(SubmitJob({}, 0, "a").send);
+  }
+  for (int i = 0; i < kSlots; ++i) {
+    const auto allocation = SubmitJob({ "a" }, 0);
+    ASSERT_EQ(allocation.server, "b");
+    atB.push_back(allocation.key);
+  }
+  int queued = 0;
+  for (int i = 0; i < kReturning; ++i) {
+    queued += SubmitJob({}, 2, "a").key.job == 0 ? 1 : 0;
+  }
+  const auto waiting = SubmitJob({}, 0);
+  ASSERT_EQ(waiting.key.job, 0u) << waiting.why;
+  SendReport whole;
+  whole.result = SendResult::kWhole;
+  const auto sent = mAllocator.Finish(atB.front(), whole, mNow);
+  EXPECT_TRUE(std::any_of(
+    sent.begin(),
+    sent.end(),
+    [](const auto& aSent) { return aSent.send && aSent.server == "b"; }))
+    << queued << " returning requests are queued";
+}
+
 // Guards against a stream that has begun and is given up while it waits,
 // because the last server leaves a moment before the one that replaces it is
 // there.
