--- a/src/http/body_memory_test.cpp
+++ b/src/http/body_memory_test.cpp
@@ -63,8 +63,10 @@
 
   int GaveWay() const
   {
-    return static_cast<int>(std::count_if(
-      mBodies.begin(), mBodies.end(), [](auto& b) { return b.gaveWay; }));
+    return static_cast<int>(
+      std::count_if(mBodies.begin(), mBodies.end(), [](const auto& aBody) {
+        return aBody.gaveWay;
+      }));
   }
 
   asio::io_context mLoop{ 1 };
