Return a stream only to a server that was silent

A server whose connection was lost while another one took its stream over was remembered like a silent one, and could get the request again.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -283,6 +283,9 @@
       aRequest->runs -= 1;
     }
     RecordSendEnd(params, *aRequest, sender->Server().id, end);
+    if (end.successor && end.report.result == policy::SendResult::kSilent) {
+      aRequest->leftServers.push_back(sender->Server().id);
+    }
     if (end.successor) {
       // The silence was reported when it began.
       end.report.result = policy::SendResult::kCancelled;
@@ -295,7 +298,6 @@
       co_return end;
     }
     aRequest->mayHaveRun = true;
-    aRequest->leftServers.push_back(sender->Server().id);
     sender = std::move(end.successor);
     end = co_await RunSender(*sender, &Sender::Resume);
   }
