--- a/src/http/body_memory_test.cpp
+++ b/src/http/body_memory_test.cpp
@@ -103,6 +103,25 @@
   EXPECT_EQ(GaveWay(), 2);
 }
 
+// Guards against a large body that arrives quickly and gives way to many small
+// ones that have stalled.
+TEST_F(BodyMemoryTest, ManyStalledBodiesGiveWayToALargeOneThatArrives)
+{
+  constexpr std::size_t kStalledBytes = 104 * kKilobyte;
+  constexpr std::size_t kLargeBytes = 4 * kMegabyte;
+  for (std::size_t i = 0; i < (kMaxBytes - kMegabyte) / kStalledBytes; ++i) {
+    Add(kStalledBytes + kUncountedBytes);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+  auto& body = mBodies.emplace_back(mLoop);
+  // 64 KB each 5 ms: about 13 MB/s.
+  for (auto bytes = kUncountedBytes; bytes <= kLargeBytes;
+       bytes += 64 * kKilobyte) {
+    ASSERT_EQ(Enlarge(body, bytes), MemoryGrant::kGranted) << bytes;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+}
+
 // Guards against dropping an answer that is whole.
 TEST_F(BodyMemoryTest, ACompleteBodyKeepsItsMemory)
 {
--- a/tests/strange_answers_process_test.cpp
+++ b/tests/strange_answers_process_test.cpp
@@ -738,5 +738,47 @@
   RecordProperty("PeakMegabytes", static_cast<int>(peak));
 }
 
+// Guards against whole answers that are dropped because callers that do not
+// read have whole answers of their own in the memory for bodies.
+TEST_F(StrangeAnswers, WholeAnswersAreGivenBesideCallersThatDoNotRead)
+{
+  constexpr int kCallers = 4;
+  constexpr std::size_t kRequestBytes = 8 * 1024 * 1024 - 64;
+  constexpr int kSmallBuffer = 4096;
+  namespace asio = boost::asio;
+  Add("n-1", "notes", 16);
+  LimitsConfig limits;
+  limits.bodyBytes = static_cast<int>(kRequestBytes);
+  Start(limits);
+  asio::io_context loop;
+  std::vector<asio::ip::tcp::socket> sockets;
+  const auto address = mFleet.Vms()[0].callerAddress;
+  for (int i = 0; i < kCallers; ++i) {
+    auto note = NextCall("notes", 8000);
+    note.body.resize(kRequestBytes, 'x');
+    const auto request = mFleet.RequestOf(note);
+    std::string bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const auto& header : request.headers) {
+      bytes += header.name + ": " + header.value + "\r\n";
+    }
+    bytes += "Content-Length: " + std::to_string(request.body.size()) +
+             "\r\n\r\n" + request.body;
+    auto& socket = sockets.emplace_back(loop);
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(kSmallBuffer));
+    socket.connect({ asio::ip::make_address(address.host), address.port });
+    asio::write(socket, asio::buffer(bytes));
+  }
+  std::this_thread::sleep_for(Seconds(1));
+  for (int i = 0; i < 10; ++i) {
+    auto note = NextCall("notes", 1500);
+    note.body.resize(150 * 1024, 'x');
+    const auto answer = Send(note);
+    EXPECT_EQ(answer.status, CallStatus::kDone);
+    EXPECT_EQ(answer.response.status, 200);
+    EXPECT_TRUE(answer.response.body == ExpectedBody(note));
+  }
+}
+
 } // namespace
 } // namespace magnoliatide::tests
