--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -559,8 +559,8 @@
 }
 
 /// Rejects the queued requests of a service without servers, as new ones would
-/// be. Those that have reached a server wait on: they may have begun, and another
-/// server may replace the last one in time.
+/// be. Those that have reached a server wait on: they may have begun, and
+/// another server may replace the last one in time.
 void
 Allocator::RejectWaiting(Service& aService, Allocations& aOut)
 {
