Let answers whose callers do not read give way

Cause: a complete body kept its share of the memory for bodies until its caller had taken it or the write timeout of 20 s had passed, so four callers that did not read made answers of 150 KB of a sound server fail with 502. And bodies were compared by size and age: 305 bodies of 104 KB that had stalled for 2 s outlasted a body that arrived at 13 MB/s. A body that gave way counted as a failure of its server.

Change: the body with the largest product of size and time since its last progress gives way; a byte now and then is no progress. A complete body may give way once its caller has taken nothing for 0.5 s; while answers are being delivered, a body waits instead of failing. A body that gives way says nothing about its server.

--- a/include/magnoliatide/http/body_memory.h
+++ b/include/magnoliatide/http/body_memory.h
@@ -1,7 +1,8 @@
 // The memory that the bodies of responses may use together in a process. Bodies
 // share it so that servers that send without end cannot use up the process's
-// memory. If it is used up, a large body that has been read for long gives way:
-// its read fails. Small bodies are not displaced by large ones.
+// memory. If it is used up, a large body that has not grown for long gives way:
+// its read fails. So does a complete one whose caller has stopped taking it.
+// Small bodies are not displaced by large ones.
 #ifndef MAGNOLIATIDE_HTTP_BODY_MEMORY_H
 #define MAGNOLIATIDE_HTTP_BODY_MEMORY_H
 
@@ -17,7 +18,7 @@
 enum class MemoryGrant
 {
   kGranted,
-  kLater,  ///< Other bodies give way; ask again soon.
+  kLater,  ///< Other bodies give way or are being delivered; ask again soon.
   kDenied, ///< This body gives way.
 };
 
@@ -49,6 +50,20 @@
   /// has given way.
   bool End();
 
+  /// Begins the delivery of a complete body to its caller.
+  ///
+  /// @param aGiveWay Called on the event loop that has read the body if the
+  ///     caller has taken nothing for a while and the memory is needed. Ends
+  ///     the delivery, after which the share must be returned. Not called after
+  ///     EndDelivery().
+  void BeginDelivery(std::function<void()> aGiveWay);
+
+  /// Records that the caller has taken a part of the body.
+  void RecordDelivery();
+
+  /// Ends the delivery.
+  void EndDelivery();
+
   /// Returns the share.
   void Clear();
 
--- a/include/magnoliatide/http/client.h
+++ b/include/magnoliatide/http/client.h
@@ -24,8 +24,9 @@
   kCut,           ///< After a byte was sent, the connection was lost or bytes
                   ///< came that are no response.
   kSilent,        ///< Timeout after a byte was sent.
-  kTooLarge,      ///< The body exceeds the maximum size, or has given way to
-                  ///< others as the memory for bodies was used up.
+  kTooLarge,      ///< The body exceeds the maximum size.
+  kGaveWay,       ///< The memory for bodies was used up, and this body has
+                  ///< given way to others.
   kClosedLocally, ///< Close() was called.
 };
 
@@ -77,9 +78,9 @@
   ///     EndBy() limits the whole.
   /// @param aMemory Receives the share of memory that the body uses. Without
   ///     it, the body is not counted.
-  /// @return kTooLarge if the rest exceeds aMaxBytes or gives way to others.
-  ///     With a status other than kDone, a counted body is empty and has no
-  ///     share; one that is not counted holds what was received.
+  /// @return kTooLarge if the rest exceeds aMaxBytes, kGaveWay if it gives way
+  ///     to others. With a status other than kDone, a counted body is empty and
+  ///     has no share; one that is not counted holds what was received.
   virtual boost::asio::awaitable<CallStatus> ReadRest(
     std::string& aBody,
     std::size_t aMaxBytes,
--- a/include/magnoliatide/http/server.h
+++ b/include/magnoliatide/http/server.h
@@ -4,6 +4,7 @@
 #define MAGNOLIATIDE_HTTP_SERVER_H
 
 #include "magnoliatide/document/document.h"
+#include "magnoliatide/http/body_memory.h"
 #include "magnoliatide/http/message.h"
 #include "magnoliatide/http/threads.h"
 
@@ -27,7 +28,13 @@
   virtual const Request& Incoming() const = 0;
 
   /// Sends a complete response.
-  virtual boost::asio::awaitable<void> Respond(Response aResponse) = 0;
+  ///
+  /// @param aMemory The share of memory that the body uses, if it is counted.
+  ///     The connection is reset if the caller stops reading and others need
+  ///     the memory.
+  virtual boost::asio::awaitable<void> Respond(
+    Response aResponse,
+    BodyMemory* aMemory = nullptr) = 0;
 
   /// Sends the status and headers of a chunked response. Returns false if the
   /// caller has disconnected.
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -218,7 +218,7 @@
   }
   co_await ReportKeyEnd(aJob, KeyEnd::kAnswered, answer);
   CountEnd(*aJob, answer.status < 500 ? "whole" : "backend-error", "");
-  co_await aJob->exchange.Respond(std::move(answer));
+  co_await aJob->exchange.Respond(std::move(answer), &aJob->bodyMemory);
   co_return status;
 }
 
@@ -293,7 +293,8 @@
                                      http::CallStatus aStatus)
 {
   if (aStatus == http::CallStatus::kClosedLocally ||
-      aStatus == http::CallStatus::kTooLarge) {
+      aStatus == http::CallStatus::kTooLarge ||
+      aStatus == http::CallStatus::kGaveWay) {
     co_return;
   }
   const auto address = aJob->document->FindBackend(aBackend)->address;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -427,7 +427,8 @@
 {
   aRequest->ended = true;
   if (aRequest->answer) {
-    co_await aRequest->exchange.Respond(std::move(*aRequest->answer));
+    co_await aRequest->exchange.Respond(std::move(*aRequest->answer),
+                                        &aRequest->answerMemory);
   } else if (aRequest->writer) {
     co_await aRequest->writer->End();
   }
@@ -442,7 +443,8 @@
       !aRequest->callerDisconnected) {
     CountRequestEnd(*aRequest, "server-failed");
     aRequest->ended = true;
-    co_await aRequest->exchange.Respond(std::move(*aRequest->serverError));
+    co_await aRequest->exchange.Respond(std::move(*aRequest->serverError),
+                                        &aRequest->errorMemory);
     co_return;
   }
   Refusal refusal;
--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -626,7 +626,13 @@
       mConnection->Close();
       return End(SendOutcome::kLost,
                  policy::SendResult::kFailed,
-                 "the answer exceeds the size limit or the memory for answers");
+                 "the answer exceeds the size limit");
+    case http::CallStatus::kGaveWay:
+      // Not a failure of the server.
+      mConnection->Close();
+      return End(SendOutcome::kLost,
+                 policy::SendResult::kCancelled,
+                 "the memory for answers is used up");
     default:
       return End(SendOutcome::kLost,
                  policy::SendResult::kCut,
--- a/src/forward/testing/fake_exchange.h
+++ b/src/forward/testing/fake_exchange.h
@@ -17,7 +17,11 @@
 public:
   const http::Request& Incoming() const override { return request; }
 
-  boost::asio::awaitable<void> Respond(http::Response) override { co_return; }
+  boost::asio::awaitable<void> Respond(http::Response,
+                                       http::BodyMemory*) override
+  {
+    co_return;
+  }
 
   boost::asio::awaitable<bool> BeginStream(http::Response) override
   {
--- a/src/http/body_memory.cpp
+++ b/src/http/body_memory.cpp
@@ -20,20 +20,38 @@
 constexpr std::size_t kUncountedBytes = 16 * 1024;
 /// A share up to this size gives way only if there is no larger one.
 constexpr std::size_t kSmallShareBytes = 64 * 1024;
+/// Growth that counts as progress, or the quarter of a smaller share. A byte
+/// now and then is none.
+constexpr std::size_t kProgressBytes = 64 * 1024;
+/// Added to the time since the last progress, so that of shares that have just
+/// grown the largest gives way.
+constexpr Duration kMinStall = Milliseconds(20);
+/// A complete body may give way if its caller has taken nothing for this time.
+constexpr Duration kDeliveryStall = Milliseconds(500);
 
 } // namespace
 
 struct BodyMemory::Share
 {
   boost::asio::any_io_executor executor;
-  /// Used on the executor only. Empty once the read has ended.
+  /// Used on the executor only. Empty unless a read or a delivery is in
+  /// progress.
   std::function<void()> giveWay;
 
   // The mutex of Shares guards these.
   std::size_t bytes = 0;
-  TimePoint since{}; ///< When the share was first enlarged.
+  std::size_t progressBytes = 0; ///< The size at progressAt.
+  TimePoint progressAt{};        ///< Last growth or delivery that counts.
   bool isComplete = false;
+  bool isDelivered = false; ///< A caller is being sent it. Implies isComplete.
   bool gaveWay = false;
+
+  /// Returns whether a size is a progress since the last one.
+  bool IsProgress(std::size_t aBytes) const
+  {
+    return aBytes >=
+           progressBytes + std::min(kProgressBytes, progressBytes / 4);
+  }
 };
 
 class BodyMemory::Shares
@@ -62,6 +80,21 @@
     return aShare.isComplete;
   }
 
+  /// Records that the delivery of a body begins, or that its caller has taken a
+  /// part of it.
+  void RecordDelivery(Share& aShare)
+  {
+    std::lock_guard<std::mutex> lock(mMutex);
+    aShare.isDelivered = aShare.isComplete;
+    aShare.progressAt = Clock::now();
+  }
+
+  void EndDelivery(Share& aShare)
+  {
+    std::lock_guard<std::mutex> lock(mMutex);
+    aShare.isDelivered = false;
+  }
+
   void Remove(const std::shared_ptr<Share>& aShare)
   {
     std::lock_guard<std::mutex> lock(mMutex);
@@ -85,17 +118,24 @@
       return MemoryGrant::kGranted;
     }
     const auto now = Clock::now();
-    if (mShares.insert(aShare).second) {
-      aShare->since = now;
-    }
+    mShares.insert(aShare);
+    const bool progress = aShare->IsProgress(aBytes);
     const auto more = aBytes - aShare->bytes;
     if (mBytes + more <= kMaxBytes) {
       mBytes += more;
       aShare->bytes = aBytes;
+      if (progress) {
+        aShare->progressBytes = aBytes;
+        aShare->progressAt = now;
+      }
       return MemoryGrant::kGranted;
     }
+    const Request request{ aShare.get(), aBytes, progress };
     while (mBytes - mLeavingBytes + more > kMaxBytes) {
-      const auto selected = Select(*aShare, aBytes, now);
+      const auto selected = Select(request, now);
+      if (selected == aShare && AnyDelivered()) {
+        return MemoryGrant::kLater;
+      }
       selected->gaveWay = true;
       mLeavingBytes += selected->bytes;
       if (selected == aShare) {
@@ -106,24 +146,40 @@
     return MemoryGrant::kLater;
   }
 
-  /// Returns the share that gives way: the one that has used most memory for
-  /// most time. The size alone would displace a body that arrives quickly, and
-  /// the time alone one that is small.
-  ///
-  /// @param aAsking The share that is to be enlarged to aBytes.
-  std::shared_ptr<Share> Select(const Share& aAsking,
-                                std::size_t aBytes,
-                                TimePoint aNow) const
+  /// A share that is to be enlarged.
+  struct Request
+  {
+    const Share* share = nullptr;
+    std::size_t bytes = 0;
+    bool progress = false; ///< As Share::IsProgress().
+  };
+
+  static bool MayGiveWay(const Share& aShare, TimePoint aNow)
+  {
+    if (aShare.gaveWay) {
+      return false;
+    }
+    return !aShare.isComplete ||
+           (aShare.isDelivered && aNow - aShare.progressAt >= kDeliveryStall);
+  }
+
+  /// Returns the share that gives way: the one with the largest product of its
+  /// size and the time since its last progress. The size alone would displace a
+  /// body that arrives quickly, and the time alone one that is small.
+  std::shared_ptr<Share> Select(const Request& aRequest, TimePoint aNow) const
   {
     const auto cost = [&](const Share& aShare) {
-      const auto bytes = &aShare == &aAsking ? aBytes : aShare.bytes;
-      const double use =
-        static_cast<double>(bytes) * ToSeconds(aNow - aShare.since);
-      return std::pair(bytes > kSmallShareBytes, use);
+      const bool asking = &aShare == aRequest.share;
+      const auto bytes = asking ? aRequest.bytes : aShare.bytes;
+      const Duration stall =
+        asking && aRequest.progress ? Duration() : aNow - aShare.progressAt;
+      return std::pair(bytes > kSmallShareBytes,
+                       static_cast<double>(bytes) *
+                         ToSeconds(stall + kMinStall));
     };
     std::shared_ptr<Share> selected;
     for (const auto& share : mShares) {
-      if (share->isComplete || share->gaveWay) {
+      if (!MayGiveWay(*share, aNow)) {
         continue;
       }
       if (!selected || cost(*selected) < cost(*share)) {
@@ -133,6 +189,15 @@
     return selected;
   }
 
+  /// Returns whether memory becomes free once callers have taken their answers,
+  /// or have stalled for long enough.
+  bool AnyDelivered() const
+  {
+    return std::any_of(mShares.begin(), mShares.end(), [](const auto& aShare) {
+      return aShare->isDelivered && !aShare->gaveWay;
+    });
+  }
+
   std::mutex mMutex;
   std::set<std::shared_ptr<Share>> mShares;
   std::size_t mBytes = 0;        ///< Of all shares; at most kMaxBytes.
@@ -193,6 +258,32 @@
   return AllShares().Complete(*mShare);
 }
 
+void
+BodyMemory::BeginDelivery(std::function<void()> aGiveWay)
+{
+  if (mShare) {
+    mShare->giveWay = std::move(aGiveWay);
+    AllShares().RecordDelivery(*mShare);
+  }
+}
+
+void
+BodyMemory::RecordDelivery()
+{
+  if (mShare) {
+    AllShares().RecordDelivery(*mShare);
+  }
+}
+
+void
+BodyMemory::EndDelivery()
+{
+  if (mShare) {
+    mShare->giveWay = nullptr;
+    AllShares().EndDelivery(*mShare);
+  }
+}
+
 void
 BodyMemory::Clear()
 {
--- a/src/http/body_memory_test.cpp
+++ b/src/http/body_memory_test.cpp
@@ -135,6 +135,65 @@
   EXPECT_EQ(GaveWay(), 0);
 }
 
+// Guards against memory that callers hold who do not read their answers.
+TEST_F(BodyMemoryTest, ABodyWhoseDeliveryStallsGivesWay)
+{
+  std::vector<Body*> complete;
+  for (int i = 0; i < 4; ++i) {
+    auto& body = Add(8 * kMegabyte + kUncountedBytes);
+    EXPECT_TRUE(body.memory.End());
+    body.memory.BeginDelivery([&body] {
+      body.gaveWay = true;
+      body.memory.Clear();
+    });
+    complete.push_back(&body);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(800));
+  complete[2]->memory.RecordDelivery();
+  auto& body = mBodies.emplace_back(mLoop);
+  EXPECT_EQ(Enlarge(body, 150 * kKilobyte), MemoryGrant::kGranted);
+  EXPECT_EQ(GaveWay(), 1);
+  EXPECT_FALSE(complete[2]->gaveWay);
+}
+
+// Guards against dropping a body although answers that are being written are
+// about to leave the memory.
+TEST_F(BodyMemoryTest, ABodyWaitsForAnswersThatAreBeingDelivered)
+{
+  std::vector<Body*> complete;
+  for (int i = 0; i < 4; ++i) {
+    complete.push_back(&Add(8 * kMegabyte + kUncountedBytes));
+    EXPECT_TRUE(complete.back()->memory.End());
+    complete.back()->memory.BeginDelivery([] {});
+  }
+  auto& body = mBodies.emplace_back(mLoop);
+  EXPECT_EQ(body.memory.Enlarge(150 * kKilobyte), MemoryGrant::kLater);
+  complete[0]->memory.EndDelivery();
+  complete[0]->memory.Clear();
+  EXPECT_EQ(body.memory.Enlarge(150 * kKilobyte), MemoryGrant::kGranted);
+  EXPECT_EQ(GaveWay(), 0);
+}
+
+// Guards against bodies that stay in the memory because a byte arrives now and
+// then.
+TEST_F(BodyMemoryTest, ATricklingBodyGivesWayBeforeOneThatGrows)
+{
+  auto& trickling = Add(8 * kMegabyte + kUncountedBytes);
+  auto& growing = Add(20 * kMegabyte + kUncountedBytes);
+  for (std::size_t i = 1; i <= 10; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    ASSERT_EQ(Enlarge(trickling, 8 * kMegabyte + kUncountedBytes + i),
+              MemoryGrant::kGranted);
+    ASSERT_EQ(
+      Enlarge(growing, 20 * kMegabyte + kUncountedBytes + i * 64 * kKilobyte),
+      MemoryGrant::kGranted);
+  }
+  auto& body = mBodies.emplace_back(mLoop);
+  EXPECT_EQ(Enlarge(body, 6 * kMegabyte), MemoryGrant::kGranted);
+  EXPECT_TRUE(trickling.gaveWay);
+  EXPECT_FALSE(growing.gaveWay);
+}
+
 // Guards against an unbounded process: the bodies of several event loops must
 // not use more than the memory, and each of them must end.
 TEST(BodyMemoryThreads, StayWithinTheMemory)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -257,7 +257,7 @@
     auto status = co_await ReadBody(aBody, aMaxBytes, aTimeout, aMemory);
     const bool gaveWay = aMemory && !aMemory->End();
     if (gaveWay && !mClosedLocally) {
-      status = CallStatus::kTooLarge;
+      status = CallStatus::kGaveWay;
     }
     if (status != CallStatus::kDone && aMemory) {
       aBody = std::string();
@@ -336,7 +336,7 @@
           break;
         }
         if (grant == MemoryGrant::kDenied) {
-          co_return CallStatus::kTooLarge;
+          co_return CallStatus::kGaveWay;
         }
         asio::steady_timer timer(mStream.get_executor(), kMemoryInterval);
         co_await timer.async_wait(kNoThrow);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -177,7 +177,8 @@
 
   const Request& Incoming() const override { return mRequest; }
 
-  asio::awaitable<void> Respond(Response aResponse) override
+  asio::awaitable<void> Respond(Response aResponse,
+                                BodyMemory* aMemory) override
   {
     bhttp::response<bhttp::string_body> message;
     FillHead(aResponse, message);
@@ -190,6 +191,8 @@
       bhttp::response_serializer<bhttp::string_body> serializer{ message };
       std::tie(error, std::ignore) =
         co_await bhttp::async_write_header(mStream, serializer, kNoThrow);
+    } else if (aMemory != nullptr) {
+      error = co_await WriteCounted(message, *aMemory);
     } else {
       std::tie(error, std::ignore) =
         co_await bhttp::async_write(mStream, message, kNoThrow);
@@ -262,6 +265,34 @@
   bool CallerDisconnected() const override { return mCallerDisconnected; }
 
 private:
+  /// Writes a response whose body uses counted memory. Resets the connection if
+  /// the caller does not read and the memory is needed.
+  asio::awaitable<ErrorCode> WriteCounted(
+    bhttp::response<bhttp::string_body>& aMessage,
+    BodyMemory& aMemory)
+  {
+    aMemory.BeginDelivery([weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self) {
+        self->SetCause(
+          CloseCause::kAborted,
+          "the caller did not read, and the memory for bodies is used up");
+        self->Abort();
+      }
+    });
+    bhttp::response_serializer<bhttp::string_body> serializer{ aMessage };
+    ErrorCode error;
+    while (!error && !serializer.is_done()) {
+      std::tie(error, std::ignore) =
+        co_await bhttp::async_write_some(mStream, serializer, kNoThrow);
+      if (!error) {
+        aMemory.RecordDelivery();
+      }
+    }
+    aMemory.EndDelivery();
+    co_return error;
+  }
+
   template<typename Message>
   void FillHead(const Response& aResponse, Message& aMessage)
   {
@@ -585,7 +616,7 @@
                    std::string(R"({"error":{"outcome":"not-run","kind":")") +
                      kind + R"(","remedy":")" + remedy + "\"}}");
     response.headers.push_back({ "X-Outcome", "not-run" });
-    co_await Respond(std::move(response));
+    co_await Respond(std::move(response), nullptr);
     if (aError == bhttp::error::partial_message) {
       // The caller has closed its side, so it probably does not read this.
       mResponseComplete = false;
@@ -636,7 +667,7 @@
       R"({"error":{"outcome":"unknown","kind":"internal-error",)"
       R"("remedy":"check whether the request ran before sending it again"}})");
     response.headers.push_back({ "X-Outcome", "unknown" });
-    co_await Respond(std::move(response));
+    co_await Respond(std::move(response), nullptr);
   }
 
   beast::tcp_stream mStream;
