Send nothing new to servers whose answers say that they leave

Cause: a leaving server was known from the store's list, from 421 and from closed connections only; no source read Server-Leaving. While the store is down or slow, it got new requests until its connections closed (rule DRAIN).

Change: the header in any own answer (streams, refusals, errors) is a notice of leaving for that incarnation, at once at this VM and by the existing notice at the others. Later entries of the store do not lift it; the next incarnation does. Work that runs there goes on.

Left out: the same id restarted and leaving again before the store lists the new incarnation.

--- a/include/magnoliatide/forward/call.h
+++ b/include/magnoliatide/forward/call.h
@@ -71,7 +71,8 @@
   /// Names a limit on the requests per second that the server takes from all
   /// VMs together.
   bool namesRateLimit = false;
-  std::optional<double> rateLimit;     ///< That limit, if it is valid.
+  std::optional<double> rateLimit; ///< That limit, if it is valid.
+  bool serverLeaving = false; ///< The server leaves and wants no new requests.
   bool encoded = false;                ///< The body has a content encoding.
   std::optional<Duration> idleTimeout; ///< Of the server's connection.
   http::Response forCaller;            ///< No hop-by-hop headers, no body.
--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -404,6 +404,7 @@
     }
     aHead = mParams.dialect->DecodeHead(response);
     if (IsOwnAnswer(aHead)) {
+      RecordServerState(aHead);
       // A limit that cannot be read says nothing, not even that there is none.
       if (aHead.rateLimit || !aHead.namesRateLimit) {
         mParams.dispatcher->RecordRateLimit(mJobId, aHead.rateLimit);
@@ -422,6 +423,16 @@
   co_return http::CallStatus::kCut;
 }
 
+/// Records what the head of an answer tells about further requests to the
+/// server.
+void
+Sender::RecordServerState(const AnswerHead& aHead)
+{
+  if (aHead.serverLeaving && !aHead.otherInstance) {
+    ReportLeaving("the server's answer says that it leaves");
+  }
+}
+
 /// Returns whether an answer can only be the one to this send. A request is
 /// sent only once on a connection, so its id proves that. Without an id, the
 /// answer is the first one on a new connection, or a refusal on a connection
--- a/src/forward/sender.h
+++ b/src/forward/sender.h
@@ -77,6 +77,7 @@
   boost::asio::awaitable<SendEnd> RelayWatched();
   boost::asio::awaitable<SendEnd> Relay();
   boost::asio::awaitable<http::CallStatus> ReadMatchingHead(AnswerHead& aHead);
+  void RecordServerState(const AnswerHead& aHead);
   bool IsOwnAnswer(const AnswerHead& aHead) const;
   boost::asio::awaitable<SendEnd> HandleNotRun(AnswerHead aHead);
   boost::asio::awaitable<SendEnd> RelayBuffered(AnswerHead aHead);
--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -144,6 +144,7 @@
   void Restart(const std::string& aId) override
   {
     Post([this, aId] {
+      mLeavingHeader.clear();
       {
         std::lock_guard<std::mutex> lock(mMutex);
         mOptions.id = aId;
@@ -161,6 +162,11 @@
 
   int Arrivals() const override { return mArrivals.load(); }
 
+  void AnnounceLeaving() override
+  {
+    Post([this] { mLeavingHeader = "Server-Leaving: 1\r\n"; });
+  }
+
   std::string Entry(bool aLeaving) const override
   {
     std::lock_guard<std::mutex> lock(mMutex);
@@ -292,7 +298,7 @@
     }
     RecordArrival();
     const auto id = "Attempt-Id: " + HeaderValue(message, "Attempt-Id") +
-                    "\r\n" + mLimitHeader;
+                    "\r\n" + AnswerHeaders();
     const auto expected = HeaderValue(message, "Expect-Instance");
     if (!expected.empty() && expected != mOptions.id) {
       co_return co_await Refuse(
@@ -312,6 +318,9 @@
     co_return co_await Run(aSocket, aBuffer, aParser, fault, arrived);
   }
 
+  /// Returns headers of all answers to requests.
+  std::string AnswerHeaders() const { return mLimitHeader + mLeavingHeader; }
+
   void RecordArrival()
   {
     mArrivals += 1;
@@ -518,7 +527,7 @@
                               const EngineRun& aRun,
                               EngineFault aFault)
   {
-    const auto id = "Attempt-Id: " + aRun.requestId + "\r\n" + mLimitHeader;
+    const auto id = "Attempt-Id: " + aRun.requestId + "\r\n" + AnswerHeaders();
     const auto signature = "Engine-Signature: " + Sign(aRun) + "\r\n";
     switch (aFault) {
       case EngineFault::kFailed:
@@ -721,7 +730,8 @@
   std::atomic<int> mPartCrashes{ 0 };
   // The members below are used on the event loop only.
   int mRunning = 0;
-  std::string mLimitHeader; ///< With its line end; empty for none.
+  std::string mLeavingHeader; ///< As mLimitHeader.
+  std::string mLimitHeader;   ///< With its line end; empty for none.
   RefusalFault mRefusalFault;
   /// Refusals that are to be written once more, by connection.
   std::map<tcp::socket*, std::string> mRefusals;
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -163,6 +163,10 @@
   /// engine takes from all VMs together. An empty text names none.
   virtual void NameRateLimit(const std::string& aLimit) = 0;
 
+  /// Says in all answers from now on that the engine leaves. The answers are
+  /// otherwise the same, and the entry in the store is not changed.
+  virtual void AnnounceLeaving() = 0;
+
   /// Returns when each request was received, run or not.
   virtual std::vector<TimePoint> ArrivalTimes() const = 0;
 
