Forecast waits from all servers if none is healthy

Cause: without a healthy server the capacity of a service counted as 0.01, so one waiting request made the next ones be refused at once with waits of minutes while all servers paused.

Change: without a healthy server, the capacity is that of all that are present; they mostly pause or are cut off together, for a short time.

Result: AllocatorPause.RequestsWaitWhileAllServersPause fails with the old line and passes now.

--- a/include/magnoliatide/policy/server_pool.h
+++ b/include/magnoliatide/policy/server_pool.h
@@ -212,7 +212,8 @@
   double WorkOf(const Job& aJob) const;
 
   /// Returns the work that all healthy servers complete per second, in seconds
-  /// of one slot of a server with slowdown factor 1.
+  /// of one slot of a server with slowdown factor 1. Without a healthy server,
+  /// returns the work of all that are present.
   ///
   /// @param aZone The zone from which the servers must be healthy.
   double Capacity(const std::string& aZone, TimePoint aNow);
--- a/src/policy/server_pool.cpp
+++ b/src/policy/server_pool.cpp
@@ -717,18 +717,25 @@
       aNow - cached->second.at < kMaxCapacityAge) {
     return cached->second.capacity;
   }
-  double capacity = 0;
+  double healthy = 0;
+  double present = 0;
   for (const auto& [id, server] : mServers) {
-    const bool usable =
-      !server->descriptor.leaving &&
-      HealthSeenFrom(*server, aZone, aNow) == HealthState::kGood;
-    if (usable) {
-      const double slots = SlotsOf(*server) / mSpeed.FactorOf(server->speed);
-      const auto rate = server->rateLimit.Rate();
-      capacity += rate ? std::min(slots, *rate * mMeanWork) : slots;
+    if (server->descriptor.leaving) {
+      continue;
+    }
+    const double slots = SlotsOf(*server) / mSpeed.FactorOf(server->speed);
+    const auto rate = server->rateLimit.Rate();
+    const double capacity = rate ? std::min(slots, *rate * mMeanWork) : slots;
+    present += capacity;
+    if (HealthSeenFrom(*server, aZone, aNow) == HealthState::kGood) {
+      healthy += capacity;
     }
   }
-  capacity = std::max(capacity, kMinCapacity);
+  // Servers that are all down mostly pause or are cut off together, for a short
+  // time. A wait computed from no capacity would refuse whatever waits for
+  // them.
+  const double capacity =
+    std::max(healthy > 0 ? healthy : present, kMinCapacity);
   mCapacities[aZone] = { capacity, aNow };
   return capacity;
 }
