Keep the time for which a full server wants no requests

Cause: no source read the Retry-After of a server's 503.

Change: the VM that was told sends the server nothing until the end of that time: it remembers what its own answers named and checks it right before each send, whatever was granted. The coordinator learns of it with the end of the send and holds back that VM's requests, those of others for at most 0.5 s; VMs tell a new coordinator what they remember; a VM that is cut off uses what it remembers. A restart of the server ends it. If all usable servers hold a request back until it would be late, its caller is told the shortest of these times. Wire version 6.

--- a/include/magnoliatide/fleet/dispatch_client.h
+++ b/include/magnoliatide/fleet/dispatch_client.h
@@ -94,6 +94,18 @@
     std::optional<double> aPerSecond,
     TimePoint aNow);
 
+  /// Records that the server of a dispatched request has rejected it and wants
+  /// no requests of this VM for a time. Returns the notice.
+  std::optional<policy::BackoffNotice> RecordBackoff(policy::JobId aJob,
+                                                     Duration aTime,
+                                                     TimePoint aNow);
+
+  /// Returns whether an incarnation of a server takes requests of this VM, as
+  /// far as its answers to this VM tell.
+  bool MayUse(const std::string& aServer,
+              std::uint64_t aStarted,
+              TimePoint aNow) const;
+
   /// Reports that the server of a dispatched request is silent.
   void RecordSilence(policy::JobId aJob);
 
@@ -147,6 +159,7 @@
     bool firstEventSeen = false;     ///< The first event was received.
     bool hasHead = false;            ///< The head of the answer was read.
     std::optional<double> rateLimit; ///< That the head names.
+    Duration backoff{};              ///< That the rejection names; or zero.
   };
 
   /// A rate limit that an answer to this VM named.
@@ -156,6 +169,13 @@
     int reportsLeft = 0; ///< Reports that are still to contain it.
   };
 
+  /// A time for which a server wants no requests of this VM.
+  struct KnownBackoff
+  {
+    policy::BackoffNotice notice;
+    int reportsLeft = 0; ///< Reports that are still to contain it.
+  };
+
   struct QuotaCharge
   {
     TimePoint at;
@@ -190,6 +210,8 @@
   wire::DispatchReport ReportFor(std::uint64_t aCoordinator, TimePoint aNow);
   std::vector<wire::ServerRateLimit> LimitsFor(std::uint64_t aCoordinator,
                                                TimePoint aNow);
+  std::vector<wire::ServerBackoff> BackoffsFor(std::uint64_t aCoordinator,
+                                               TimePoint aNow);
   void Expire(TimePoint aNow);
 
   DispatchClientOptions mOptions;
@@ -205,9 +227,10 @@
   std::vector<DispatchMessage> mMessages;
   std::deque<QuotaCharge> mCharges;
   std::deque<GrantRecord> mGrants;
-  std::map<std::string, KnownLimit> mLimits; ///< By server.
-  /// The coordinator that the reportsLeft of mLimits refer to.
-  std::uint64_t mLimitsReportedTo = 0;
+  std::map<std::string, KnownLimit> mLimits;     ///< By server.
+  std::map<std::string, KnownBackoff> mBackoffs; ///< By server.
+  /// The coordinator that the reportsLeft of mLimits and mBackoffs refer to.
+  std::uint64_t mNoticesReportedTo = 0;
   std::uint64_t mLastNumber = 0;
   std::uint64_t mLastCoordinator = 0; ///< Receiver of the last request.
   TimePoint mNextReport{};
--- a/include/magnoliatide/fleet/dispatch_coordinator.h
+++ b/include/magnoliatide/fleet/dispatch_coordinator.h
@@ -79,6 +79,9 @@
   /// to another coordinator by then.
   void DropWaiting();
 
+  /// Merges a time for which a server wants no requests of a VM.
+  void MergeBackoff(const policy::BackoffNotice& aNotice, TimePoint aNow);
+
   /// Updates the estimates with the result of a request of this VM that another
   /// coordinator decided on.
   void Learn(const policy::Job& aJob,
--- a/include/magnoliatide/forward/call.h
+++ b/include/magnoliatide/forward/call.h
@@ -73,6 +73,8 @@
   bool namesRateLimit = false;
   std::optional<double> rateLimit; ///< That limit, if it is valid.
   bool serverLeaving = false; ///< The server leaves and wants no new requests.
+  /// How long the server wants no further requests of this VM, if it says so.
+  std::optional<Duration> backoff;
   bool encoded = false;                ///< The body has a content encoding.
   std::optional<Duration> idleTimeout; ///< Of the server's connection.
   http::Response forCaller;            ///< No hop-by-hop headers, no body.
--- a/include/magnoliatide/forward/dispatcher.h
+++ b/include/magnoliatide/forward/dispatcher.h
@@ -47,6 +47,14 @@
   virtual void RecordRateLimit(policy::JobId aId,
                                std::optional<double> aPerSecond) = 0;
 
+  /// Records that the server of a sent request has rejected it and wants no
+  /// further requests of this VM for a time.
+  virtual void RecordBackoff(policy::JobId aId, Duration aTime) = 0;
+
+  /// Returns whether a server takes requests of this VM, as far as its answers
+  /// tell. Checked right before each send, as the decision may be older.
+  virtual bool MayUse(const routing::Server& aServer) const = 0;
+
   /// Records that the server of a sent request has been silent for a while. The
   /// send goes on.
   virtual void RecordSilence(policy::JobId aId) = 0;
--- a/include/magnoliatide/policy/allocator.h
+++ b/include/magnoliatide/policy/allocator.h
@@ -25,7 +25,9 @@
   kNoServer,  ///< No server of the service is usable for it.
   kTooLate,   ///< Its caller is expected to give up before it is sent.
   kOverQuota, ///< Over quota, and there is no spare capacity.
-  kHarmful,   ///< It ran during too many server crashes, see CrashSuspects.
+  /// All usable servers want no requests until it would be late.
+  kServersFull,
+  kHarmful, ///< It ran during too many server crashes, see CrashSuspects.
 };
 
 /// The decision on one request: a server to send it to, or a rejection.
@@ -76,6 +78,13 @@
                        std::optional<double> aPerSecond,
                        TimePoint aNow);
 
+  /// Merges a time for which a server wants no requests of a VM.
+  void MergeBackoff(const BackoffNotice& aNotice, TimePoint aNow);
+
+  /// Records that the server of a running request wants no requests of its VM
+  /// for a time.
+  void RecordBackoff(const JobKey& aKey, Duration aTime, TimePoint aNow);
+
   /// Submits a request that is neither queued nor running. Exactly one
   /// allocation is returned for it, by this or a later call, unless Withdraw(),
   /// DropWaiting() or RemoveVm() removes it first.
@@ -208,6 +217,9 @@
   void Shed(Service& aService, TimePoint aNow, Allocations& aOut);
   void RejectWaiting(Service& aService, Allocations& aOut);
   TrySendResult TrySend(DispatchPass& aPass, const WaitingJob& aWaiting);
+  bool RejectHeldBack(DispatchPass& aPass,
+                      const WaitingJob& aWaiting,
+                      TimePoint aEnd);
   bool ReserveTimelySlot(DispatchPass& aPass, const WaitingJob& aWaiting);
   bool SendOrRejectOverQuota(DispatchPass& aPass, const WaitingJob& aWaiting);
   void Send(Service& aService,
--- a/include/magnoliatide/policy/job.h
+++ b/include/magnoliatide/policy/job.h
@@ -40,6 +40,7 @@
 struct Job
 {
   JobId id = 0;
+  std::uint64_t vm = 0; ///< Process of the VM that accepted it; as in JobKey.
   std::string service;
   std::string kind; ///< The route's name.
   std::string team;
--- a/include/magnoliatide/policy/server_pool.h
+++ b/include/magnoliatide/policy/server_pool.h
@@ -5,6 +5,7 @@
 #define MAGNOLIATIDE_POLICY_SERVER_POOL_H
 
 #include "magnoliatide/policy/job.h"
+#include "magnoliatide/policy/server_backoff.h"
 #include "magnoliatide/policy/server_health.h"
 #include "magnoliatide/policy/server_rate_limit.h"
 #include "magnoliatide/policy/service_speed.h"
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -44,6 +46,7 @@
   routing::Server descriptor; ///< As listed in the roster.
   ServerSpeed speed;
   ServerRateLimit rateLimit;
+  ServerBackoff backoff;
   std::vector<RunningJob*> running;
   /// Prompt tokens of running requests without a first event.
   double pendingPrefillTokens = 0;
@@ -92,8 +95,8 @@
   {
   }
 
-  /// Adds or updates a server. Discards the measured speed, the health and the
-  /// rate limit if the server was restarted.
+  /// Adds or updates a server. Discards the measured speed, the health, the
+  /// rate limit and the backoff if the server was restarted.
   void SetServer(const routing::Server& aServer);
 
   /// Stops sending requests to servers missing from a roster, and removes those
@@ -110,6 +113,21 @@
   /// unknown incarnations.
   void MergeRateLimit(const RateLimitNotice& aNotice, TimePoint aNow);
 
+  /// Merges a time for which a server wants no requests. Ignores unknown
+  /// incarnations.
+  void MergeBackoff(const BackoffNotice& aNotice, TimePoint aNow);
+
+  /// Returns whether some servers may hold back requests of a VM that they
+  /// would take from others.
+  bool HoldsBack(std::uint64_t aVm, TimePoint aNow) const;
+
+  /// Returns when the first server can be sent a request, if all that are
+  /// usable for it hold it back now. Nothing if there is one that does not, or
+  /// none at all.
+  std::optional<TimePoint> BackoffEnd(const Job& aJob,
+                                      const std::string& aZone,
+                                      TimePoint aNow) const;
+
   /// Sets how many requests beyond its slots a server may be sent, so that it
   /// does not idle until the next one arrives.
   ///
@@ -192,8 +210,9 @@
                             const Job& aJob,
                             const std::string& aZone) const;
 
-  /// Returns whether a server accepts new requests, is not excluded by the
-  /// request, and is healthy or due for a probe as seen from a zone.
+  /// Returns whether a server accepts new requests, does not hold back the
+  /// request and is not excluded by it, and is healthy or due for a probe as
+  /// seen from a zone.
   bool IsEligible(const PoolServer& aServer,
                   const Job& aJob,
                   const std::string& aZone,
@@ -239,6 +258,10 @@
     TimePoint at; ///< When it was computed.
   };
 
+  bool IsUsable(const PoolServer& aServer,
+                const Job& aJob,
+                const std::string& aZone,
+                TimePoint aNow) const;
   Forecast LastResort(const Job& aJob,
                       const std::string& aZone,
                       TimePoint aNow);
@@ -280,6 +303,8 @@
   double mOverheadSeconds = 0;
   /// Requests in transit to or from a server, per request being processed.
   double mInTransitRatio = 0;
+  /// Latest end of a time that a server has named to a VM, by its process.
+  std::map<std::uint64_t, TimePoint> mHeldBackUntil;
   std::map<std::string, std::unique_ptr<PoolServer>> mServers;
   /// Contains exactly the requests that PoolServer::running points to.
   std::map<JobKey, RunningJob> mRunning;
--- a/include/magnoliatide/wire/codec.h
+++ b/include/magnoliatide/wire/codec.h
@@ -32,7 +32,7 @@
 
 /// The first byte of every message. Every change to a message type must
 /// increment it: VMs drop messages of any other version.
-constexpr std::uint8_t kWireVersion = 5;
+constexpr std::uint8_t kWireVersion = 6;
 
 /// Why a message was dropped.
 enum class DecodeError
--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -308,8 +308,9 @@
   kNoServer,
   kTooLate,
   kOverQuota,
-  kNoRetry, ///< Retries are used up, or such requests fail on all servers.
-  kHarmful, ///< Suspected of crashing the servers that ran it.
+  kNoRetry,     ///< Retries are used up, or such requests fail on all servers.
+  kHarmful,     ///< Suspected of crashing the servers that ran it.
+  kServersFull, ///< All servers want no requests until it would be late.
 };
 
 /// The coordinator's reply to a dispatch request.
@@ -348,6 +349,9 @@
   /// it names as the server's limit, or negative if it names none.
   bool hasHead = false;
   float rateLimit = -1;
+  /// How long the server wants no further requests of this VM; 0 if it has not
+  /// said so.
+  std::uint32_t backoffMillis = 0;
 };
 
 /// A request that a VM has sent and that has not ended.
@@ -390,6 +394,14 @@
   std::uint32_t ageMillis = 0; ///< Since the answer arrived.
 };
 
+/// A time for which a server wants no requests of the VM that reports it.
+struct ServerBackoff
+{
+  std::string server;
+  std::uint64_t started = 0; ///< Start of the server's incarnation.
+  std::uint32_t remainingMillis = 0;
+};
+
 /// Sent to the coordinator periodically, so that it removes requests whose end
 /// it did not receive and accounts for decisions of other coordinators.
 struct DispatchReport
@@ -401,6 +413,8 @@
   std::vector<RetryUsage> retries;
   /// Limits that the coordinator may not have received.
   std::vector<ServerRateLimit> rateLimits;
+  /// Those that the coordinator may not have received.
+  std::vector<ServerBackoff> backoffs;
   std::uint32_t ageMillis = 0; ///< Since the VM's process started.
 };
 
--- a/src/cli/log_events.cpp
+++ b/src/cli/log_events.cpp
@@ -190,6 +190,14 @@
                           : " names a rate limit of " + limit + " per second");
 }
 
+std::string
+DescribeServerBackoff(const LogRecord& aRecord)
+{
+  return "server " + aRecord.Field("server") +
+         " is full and wants no requests of this VM for " +
+         aRecord.Field("for_ms") + " ms";
+}
+
 std::string
 DescribeCrash(const LogRecord& aRecord)
 {
@@ -280,6 +288,7 @@
   { "crash-suspect", DescribeSuspect, AlwaysAffects },
   { "crash-cleared", DescribeClearance, AlwaysAffects },
   { "server-limit", DescribeServerLimit, LimitsServer },
+  { "server-backoff", DescribeServerBackoff, LimitsServer },
   { "change", DescribeChange, IsRelevantChange },
   { "crashed", DescribeCrash, AlwaysAffects },
   { "log-dropped", DescribeDroppedLines, AlwaysAffects },
--- a/src/fleet/dispatch_client.cpp
+++ b/src/fleet/dispatch_client.cpp
@@ -14,11 +14,11 @@
 /// tried.
 constexpr std::size_t kMaxUnresponsive = 2;
 
-/// Number of rate limits that fit into a report.
-constexpr std::size_t kMaxReportedLimits = 40;
+/// Number of rate limits, and of backoffs, that fit into a report.
+constexpr std::size_t kMaxReportedNotices = 40;
 
-/// Reports that contain a rate limit, in case one is lost.
-constexpr int kReportsPerLimit = 2;
+/// Reports that contain a rate limit or a backoff, in case one is lost.
+constexpr int kReportsPerNotice = 2;
 
 /// Higher rate limits are treated as this one.
 constexpr double kMaxRateLimit = 1e6;
@@ -230,7 +230,7 @@
   const bool changed = known == mLimits.end() ||
                        known->second.notice.started != notice.started ||
                        known->second.notice.perSecond != notice.perSecond;
-  mLimits[sent.server] = { notice, kReportsPerLimit };
+  mLimits[sent.server] = { notice, kReportsPerNotice };
   if (!changed) {
     return std::nullopt;
   }
@@ -239,6 +239,43 @@
   return notice;
 }
 
+std::optional<policy::BackoffNotice>
+DispatchClient::RecordBackoff(policy::JobId aJob,
+                              Duration aTime,
+                              TimePoint aNow)
+{
+  const auto found = mDispatched.find(aJob);
+  if (found == mDispatched.end() || aTime <= Duration::zero()) {
+    return std::nullopt;
+  }
+  auto& sent = found->second;
+  sent.backoff = std::min(aTime, policy::kMaxServerBackoff);
+  policy::BackoffNotice notice;
+  notice.server = sent.server;
+  notice.started = mLocal.StartOf(sent.job.service, sent.server);
+  notice.vm = mOptions.self;
+  notice.until = aNow + sent.backoff;
+  auto& known = mBackoffs[sent.server];
+  const bool longer =
+    known.notice.started != notice.started || known.notice.until < notice.until;
+  if (longer) {
+    known = { notice, kReportsPerNotice };
+    // The coordinator that decides next may be this VM or another one.
+    mLocal.MergeBackoff(notice, aNow);
+  }
+  return notice;
+}
+
+bool
+DispatchClient::MayUse(const std::string& aServer,
+                       std::uint64_t aStarted,
+                       TimePoint aNow) const
+{
+  const auto found = mBackoffs.find(aServer);
+  return found == mBackoffs.end() || found->second.notice.until <= aNow ||
+         found->second.notice.started != aStarted;
+}
+
 void
 DispatchClient::RecordSilence(policy::JobId aJob)
 {
@@ -281,6 +318,8 @@
   if (sent.hasHead && !sent.firstEventSeen) {
     AddHead(sent.rateLimit, progress);
   }
+  progress.backoffMillis = static_cast<std::uint32_t>(
+    std::chrono::duration_cast<Milliseconds>(sent.backoff).count());
   Enqueue(sent.coordinator, progress);
   // The coordinator may be lost before it can tell the other VMs.
   mLocal.RecordOwnRun({ mOptions.self, sent.number },
@@ -486,6 +525,8 @@
     report.retries.push_back(usage);
   }
   report.rateLimits = LimitsFor(aCoordinator, aNow);
+  report.backoffs = BackoffsFor(aCoordinator, aNow);
+  mNoticesReportedTo = aCoordinator;
   return report;
 }
 
@@ -499,11 +540,11 @@
   });
   std::vector<wire::ServerRateLimit> limits;
   for (auto& [server, limit] : mLimits) {
-    if (aCoordinator != mLimitsReportedTo) {
-      limit.reportsLeft = kReportsPerLimit;
+    if (aCoordinator != mNoticesReportedTo) {
+      limit.reportsLeft = kReportsPerNotice;
     }
     const auto& notice = limit.notice;
-    if (limit.reportsLeft > 0 && limits.size() < kMaxReportedLimits) {
+    if (limit.reportsLeft > 0 && limits.size() < kMaxReportedNotices) {
       limit.reportsLeft -= 1;
       const auto age =
         std::chrono::duration_cast<Milliseconds>(aNow - notice.at).count();
@@ -513,10 +554,34 @@
                          static_cast<std::uint32_t>(age) });
     }
   }
-  mLimitsReportedTo = aCoordinator;
   return limits;
 }
 
+/// Returns the backoffs that a coordinator may not have received. A new one
+/// gets all of them.
+std::vector<wire::ServerBackoff>
+DispatchClient::BackoffsFor(std::uint64_t aCoordinator, TimePoint aNow)
+{
+  std::erase_if(mBackoffs, [&](const auto& aEntry) {
+    return aEntry.second.notice.until <= aNow;
+  });
+  std::vector<wire::ServerBackoff> backoffs;
+  for (auto& [server, backoff] : mBackoffs) {
+    if (aCoordinator != mNoticesReportedTo) {
+      backoff.reportsLeft = kReportsPerNotice;
+    }
+    const auto& notice = backoff.notice;
+    if (backoff.reportsLeft > 0 && backoffs.size() < kMaxReportedNotices) {
+      backoff.reportsLeft -= 1;
+      const auto remaining =
+        std::chrono::duration_cast<Milliseconds>(notice.until - aNow).count();
+      backoffs.push_back(
+        { server, notice.started, static_cast<std::uint32_t>(remaining) });
+    }
+  }
+  return backoffs;
+}
+
 std::vector<DispatchMessage>
 DispatchClient::TakeMessages(TimePoint aNow)
 {
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -42,6 +42,8 @@
       return wire::DispatchDecision::kTooLate;
     case policy::RejectReason::kOverQuota:
       return wire::DispatchDecision::kOverQuota;
+    case policy::RejectReason::kServersFull:
+      return wire::DispatchDecision::kServersFull;
     case policy::RejectReason::kHarmful:
       return wire::DispatchDecision::kHarmful;
   }
@@ -312,6 +314,9 @@
   constexpr auto kSilent =
     static_cast<std::uint8_t>(policy::SendResult::kSilent);
   RecordHead(key, aProgress, aNow);
+  if (aProgress.backoffMillis > 0) {
+    mAllocator.RecordBackoff(key, Milliseconds(aProgress.backoffMillis), aNow);
+  }
   if (!aProgress.ended && aProgress.result == kSilent) {
     mAllocator.RecordSilence(key, aNow);
     return;
@@ -396,9 +401,23 @@
                                 aNow);
     }
   }
+  for (const auto& backoff : aReport.backoffs) {
+    MergeBackoff({ backoff.server,
+                   backoff.started,
+                   aVm,
+                   aNow + Milliseconds(backoff.remainingMillis) },
+                 aNow);
+  }
   MergeRemoteUsage(aVm, aReport, aNow);
 }
 
+void
+DispatchCoordinator::MergeBackoff(const policy::BackoffNotice& aNotice,
+                                  TimePoint aNow)
+{
+  mAllocator.MergeBackoff(aNotice, aNow);
+}
+
 /// Records the quota units and retries that other coordinators granted to a VM.
 void
 DispatchCoordinator::MergeRemoteUsage(std::uint64_t aVm,
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -24,6 +24,8 @@
   void Withdraw(policy::JobId) override { pending = nullptr; }
   void RecordFirstEvent(policy::JobId) override {}
   void RecordRateLimit(policy::JobId, std::optional<double>) override {}
+  void RecordBackoff(policy::JobId, Duration) override {}
+  bool MayUse(const routing::Server&) const override { return true; }
   void RecordSilence(policy::JobId) override {}
   void RecordSilenceEnd(policy::JobId) override {}
 
--- a/src/forward/sender.cpp
+++ b/src/forward/sender.cpp
@@ -107,17 +107,18 @@
                   unanswered ? "connect timed out" : "cannot connect");
   }
   if (!mParams.usable(mServer)) {
-    if (mReused) {
-      mParams.pool->Release(mRequest->executor,
-                            mServer.address,
-                            { mConnection, mCarriedRefusal },
-                            kDefaultKeepAlive);
-    }
+    ReturnUnused();
     co_return End(
       SendOutcome::kNotRun,
       policy::SendResult::kNotSent,
       "the server stopped accepting requests while the VM connected");
   }
+  if (!mParams.dispatcher->MayUse(mServer)) {
+    ReturnUnused();
+    co_return End(SendOutcome::kNotRun,
+                  policy::SendResult::kFull,
+                  "the server wants no requests for a time");
+  }
   bool sent = co_await SendRequest();
   if (!sent && mReused && !mClosed) {
     // The server had closed the reused connection, but may accept a new one.
@@ -135,6 +136,18 @@
   co_return std::nullopt;
 }
 
+/// Returns a connection that has not carried the request to the pool.
+void
+Sender::ReturnUnused()
+{
+  if (mReused) {
+    mParams.pool->Release(mRequest->executor,
+                          mServer.address,
+                          { mConnection, mCarriedRefusal },
+                          kDefaultKeepAlive);
+  }
+}
+
 asio::awaitable<void>
 Sender::AwaitHead()
 {
@@ -431,6 +444,9 @@
   if (aHead.serverLeaving && !aHead.otherInstance) {
     ReportLeaving("the server's answer says that it leaves");
   }
+  if (aHead.backoff) {
+    mParams.dispatcher->RecordBackoff(mJobId, *aHead.backoff);
+  }
 }
 
 /// Returns whether an answer can only be the one to this send. A request is
--- a/src/forward/sender.h
+++ b/src/forward/sender.h
@@ -77,6 +77,7 @@
   boost::asio::awaitable<SendEnd> RelayWatched();
   boost::asio::awaitable<SendEnd> Relay();
   boost::asio::awaitable<http::CallStatus> ReadMatchingHead(AnswerHead& aHead);
+  void ReturnUnused();
   void RecordServerState(const AnswerHead& aHead);
   bool IsOwnAnswer(const AnswerHead& aHead) const;
   boost::asio::awaitable<SendEnd> HandleNotRun(AnswerHead aHead);
--- a/src/node/dispatch_service.cpp
+++ b/src/node/dispatch_service.cpp
@@ -18,9 +18,9 @@
 constexpr Duration kBusyTickPeriod = Milliseconds(15);
 constexpr Duration kIdleTickPeriod = Milliseconds(250);
 
-/// A request whose assigned server is leaving or unknown to this VM is refused
-/// once this number of servers is excluded for it, those of failed sends
-/// included.
+/// A request whose assigned server this VM knows as leaving or full, or does
+/// not know at all, is refused once this number of servers is excluded for it,
+/// those of failed sends included.
 constexpr std::size_t kMaxUnknownServers = 4;
 
 std::string
@@ -35,6 +35,8 @@
   switch (aDecision) {
     case wire::DispatchDecision::kTooLate:
       return forward::RefusalKind::kOverloaded;
+    case wire::DispatchDecision::kServersFull:
+      return forward::RefusalKind::kOverloaded;
     case wire::DispatchDecision::kOverQuota:
       return forward::RefusalKind::kOverQuota;
     case wire::DispatchDecision::kHarmful:
@@ -170,14 +172,15 @@
   }
   const auto roster = mParams.roster();
   const auto server = roster->find(aReply.server);
-  if (server != roster->end() && !server->second.leaving) {
+  if (server != roster->end() && !server->second.leaving &&
+      MayUse(server->second)) {
     decision.send = true;
     decision.probe = aReply.probe;
     decision.server = server->second;
     aOnDecision(std::move(decision));
     return;
   }
-  // The coordinator's list of servers differs from this VM's.
+  // The coordinator did not know yet what this VM knows of the server.
   policy::SendReport report;
   report.result = policy::SendResult::kNotRun;
   mClient.Finish(aJob.id, report, Clock::now());
@@ -188,7 +191,7 @@
     return;
   }
   decision.refusal.message =
-    "the chosen servers are unknown to this VM or leaving";
+    "the chosen servers are unknown to this VM, leaving or full";
   decision.refusal.retryAfter = Milliseconds(500);
   aOnDecision(std::move(decision));
 }
@@ -222,6 +225,24 @@
   }
 }
 
+void
+DispatchService::RecordBackoff(policy::JobId aId, Duration aTime)
+{
+  const auto notice = mClient.RecordBackoff(aId, aTime, Clock::now());
+  if (notice) {
+    mParams.metrics->Count("server_backoffs_total",
+                           { { "server", notice->server } });
+    telemetry::LogInfo("server-backoff",
+                       { { "server", notice->server }, { "for_ms", aTime } });
+  }
+}
+
+bool
+DispatchService::MayUse(const routing::Server& aServer) const
+{
+  return mClient.MayUse(aServer.id, aServer.started, Clock::now());
+}
+
 void
 DispatchService::RecordSilence(policy::JobId aId)
 {
--- a/src/node/dispatch_service.h
+++ b/src/node/dispatch_service.h
@@ -69,6 +69,8 @@
   void RecordFirstEvent(policy::JobId aId) override;
   void RecordRateLimit(policy::JobId aId,
                        std::optional<double> aPerSecond) override;
+  void RecordBackoff(policy::JobId aId, Duration aTime) override;
+  bool MayUse(const routing::Server& aServer) const override;
   void RecordSilence(policy::JobId aId) override;
   void RecordSilenceEnd(policy::JobId aId) override;
   void Finish(policy::JobId aId, const policy::SendReport& aReport) override;
--- a/src/node/local_dispatcher.cpp
+++ b/src/node/local_dispatcher.cpp
@@ -83,6 +83,17 @@
 {
 }
 
+void
+LocalDispatcher::RecordBackoff(policy::JobId, Duration)
+{
+}
+
+bool
+LocalDispatcher::MayUse(const routing::Server&) const
+{
+  return true;
+}
+
 void
 LocalDispatcher::RecordSilence(policy::JobId)
 {
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -144,6 +144,30 @@
   service->pool.MergeRateLimit(notice, aNow);
 }
 
+void
+Allocator::MergeBackoff(const BackoffNotice& aNotice, TimePoint aNow)
+{
+  for (auto& [name, service] : mServices) {
+    service.pool.MergeBackoff(aNotice, aNow);
+  }
+}
+
+void
+Allocator::RecordBackoff(const JobKey& aKey, Duration aTime, TimePoint aNow)
+{
+  auto* service = FindServiceRunning(aKey);
+  if (service == nullptr) {
+    return;
+  }
+  const auto& running = *service->pool.FindRunning(aKey);
+  BackoffNotice notice;
+  notice.server = running.server->descriptor.id;
+  notice.started = running.serverStarted;
+  notice.vm = aKey.vm;
+  notice.until = aNow + std::min(aTime, kMaxServerBackoff);
+  service->pool.MergeBackoff(notice, aNow);
+}
+
 Allocations
 Allocator::Submit(const JobKey& aKey,
                   const Job& aJob,
@@ -532,7 +556,8 @@
       decided.push_back(waiting.key);
       free -= 1;
     } else if (result == TrySendResult::kAllBusy &&
-               waiting.job.IsUnrestricted()) {
+               waiting.job.IsUnrestricted() &&
+               !aService.pool.HoldsBack(waiting.job.vm, aNow)) {
       busyZones.insert(waiting.zone);
     } else if (result == TrySendResult::kAllBusy &&
                !waiting.job.onlyServer.empty()) {
@@ -602,7 +627,12 @@
     suspect ? pool.EmptiestFreeServer(aWaiting.job, aWaiting.zone, aPass.now)
             : pool.BestFreeServer(aWaiting.job, aWaiting.zone, aPass.now);
   if (best.server == nullptr) {
-    if (pool.CanServe(aWaiting.job, aWaiting.zone, aPass.now)) {
+    const auto backoffEnd =
+      pool.BackoffEnd(aWaiting.job, aWaiting.zone, aPass.now);
+    if (backoffEnd && RejectHeldBack(aPass, aWaiting, *backoffEnd)) {
+      return TrySendResult::kDecided;
+    }
+    if (backoffEnd || pool.CanServe(aWaiting.job, aWaiting.zone, aPass.now)) {
       return TrySendResult::kAllBusy;
     }
     Reject(aWaiting,
@@ -619,6 +649,27 @@
   return TrySendResult::kDecided;
 }
 
+/// Rejects a request that all usable servers hold back if it would be late when
+/// the first one takes requests again. Returns whether it did. Its caller is
+/// told that time.
+bool
+Allocator::RejectHeldBack(DispatchPass& aPass,
+                          const WaitingJob& aWaiting,
+                          TimePoint aEnd)
+{
+  if (aEnd <= std::min(aWaiting.latestStart, aWaiting.giveUpAt)) {
+    return false;
+  }
+  const Duration wait = aEnd - aPass.now;
+  Reject(aWaiting,
+         RejectReason::kServersFull,
+         std::max(wait, AddJitter(wait)),
+         "all usable servers want no requests for " + FormatMilliseconds(wait) +
+           " ms",
+         aPass.out);
+  return true;
+}
+
 /// Reserves a slot that is released soon enough for a request that would be
 /// late at the free servers. Returns whether there is one.
 bool
@@ -721,8 +772,12 @@
   Allocation allocation;
   allocation.key = aWaiting.key;
   allocation.reason = aReason;
+  // A server's own time is not shortened: before its end, the caller would only
+  // be rejected again.
+  const Duration most =
+    aReason == RejectReason::kServersFull ? kMaxServerBackoff : kMaxRetryAfter;
   allocation.retryAfter =
-    std::clamp<Duration>(aRetryAfter, kMinRetryAfter, kMaxRetryAfter);
+    std::clamp<Duration>(aRetryAfter, kMinRetryAfter, most);
   allocation.why = std::move(aWhy);
   aOut.push_back(std::move(allocation));
 }
--- a/src/policy/allocator_pause_test.cpp
+++ b/src/policy/allocator_pause_test.cpp
@@ -1,9 +1,10 @@
-// Tests of requests that arrive while servers pause.
+// Tests of requests that arrive while servers pause or hold requests back.
 #include "magnoliatide/policy/allocator.h"
 
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr std::uint64_t kVm = 1;
+constexpr std::uint64_t kOtherVm = 2;
 constexpr char kZone[] = "kariakoo";
 
 class AllocatorPause : public ::testing::Test
@@ -68,6 +70,19 @@
 
   void Advance(Duration aTime) { mNow += aTime; }
 
+  /// Submits a request whose server rejects it and names a backoff.
+  std::string RejectOne(Duration aBackoff, std::uint64_t aVm = kVm)
+  {
+    const auto job = MakeJob();
+    const auto sent = Submit(job, aVm);
+    EXPECT_TRUE(sent && sent->send);
+    mAllocator.RecordBackoff({ aVm, job.id }, aBackoff, mNow);
+    SendReport report;
+    report.result = SendResult::kFull;
+    mAllocator.Finish({ aVm, job.id }, report, mNow);
+    return sent ? sent->server : "";
+  }
+
   AllocatorOptions mOptions;
   Allocator mAllocator{ mOptions };
   TimePoint mNow = TimePoint{} + Seconds(100);
@@ -103,5 +118,117 @@
   }
 }
 
+// Guards against requests to a server before the end of the time that it has
+// named to the VM (BUDGET).
+TEST_F(AllocatorPause, AVmAvoidsAServerForTheTimeThatItNames)
+{
+  SetServers(2, 4);
+  const auto full = RejectOne(Seconds(3));
+  const TimePoint end = mNow + Seconds(3);
+  while (mNow < end) {
+    const auto job = MakeJob();
+    const auto sent = Submit(job);
+    ASSERT_TRUE(sent && sent->send);
+    EXPECT_NE(sent->server, full) << ToSeconds(end - mNow);
+    mAllocator.Finish({ kVm, job.id }, SendReport(), mNow);
+    Advance(Milliseconds(100));
+  }
+  std::set<std::string> used;
+  for (int i = 0; i < 8; ++i) {
+    used.insert(Submit(MakeJob())->server);
+  }
+  EXPECT_EQ(used.count(full), 1U);
+}
+
+// Guards against a server that is taken from all VMs because it was full for
+// one of them.
+TEST_F(AllocatorPause, OtherVmsUseTheServerAgainSoon)
+{
+  SetServers(1, 4);
+  RejectOne(Seconds(4));
+  const auto early = MakeJob();
+  EXPECT_FALSE(Submit(early, kOtherVm).has_value());
+  Advance(Milliseconds(501));
+  const auto sent = Find(mAllocator.Tick(mNow), { kOtherVm, early.id });
+  ASSERT_TRUE(sent.has_value());
+  EXPECT_TRUE(sent->send);
+  EXPECT_FALSE(Submit(MakeJob(Seconds(9)), kVm).has_value());
+}
+
+// Guards against requests that wait until their deadline for servers that have
+// all said that they are full for longer.
+TEST_F(AllocatorPause, CallersAreToldTheShortestTimeIfAllServersAreFull)
+{
+  SetServers(3, 4);
+  RejectOne(Seconds(8));
+  RejectOne(Seconds(6));
+  RejectOne(Seconds(7));
+  const auto refused = Submit(MakeJob());
+  ASSERT_TRUE(refused.has_value());
+  EXPECT_FALSE(refused->send);
+  EXPECT_EQ(refused->reason, RejectReason::kServersFull);
+  EXPECT_GE(refused->retryAfter, Seconds(6));
+  EXPECT_LE(refused->retryAfter, Seconds(9));
+}
+
+// Guards against refusing requests that would still be in time.
+TEST_F(AllocatorPause, RequestsWaitForAServerThatIsFullForAShortTime)
+{
+  SetServers(1, 4);
+  RejectOne(Milliseconds(300));
+  const auto job = MakeJob();
+  EXPECT_FALSE(Submit(job).has_value());
+  Advance(Milliseconds(301));
+  const auto sent = Find(mAllocator.Tick(mNow), { kVm, job.id });
+  ASSERT_TRUE(sent.has_value());
+  EXPECT_TRUE(sent->send);
+}
+
+// Guards against requests of other VMs that are held up behind one that no
+// server takes.
+TEST_F(AllocatorPause, AVmThatIsHeldBackDoesNotHoldUpOthers)
+{
+  SetServers(1, 1);
+  RejectOne(Milliseconds(700));
+  Advance(Milliseconds(501));
+  const auto running = MakeJob();
+  ASSERT_TRUE(Submit(running, kOtherVm)->send);
+  const auto heldBack = MakeJob();
+  const auto other = MakeJob();
+  EXPECT_FALSE(Submit(heldBack, kVm).has_value());
+  EXPECT_FALSE(Submit(other, kOtherVm).has_value());
+  const auto sent =
+    mAllocator.Finish({ kOtherVm, running.id }, SendReport(), mNow);
+  ASSERT_TRUE(Find(sent, { kOtherVm, other.id }).has_value());
+}
+
+// Guards against a backoff that outlives the server that named it.
+TEST_F(AllocatorPause, ARestartedServerIsUsedAtOnce)
+{
+  SetServers(1, 4);
+  RejectOne(Seconds(8));
+  mStarted = 2;
+  SetServers(1, 4);
+  EXPECT_TRUE(Submit(MakeJob())->send);
+  // A late report of the earlier incarnation.
+  mAllocator.MergeBackoff({ "z-1", 1, kVm, mNow + Seconds(5) }, mNow);
+  EXPECT_TRUE(Submit(MakeJob())->send);
+}
+
+// Guards against a retry or a return that reaches a full server because it may
+// be sent to no other one.
+TEST_F(AllocatorPause, RestrictedRequestsAreHeldBackToo)
+{
+  SetServers(2, 4);
+  const auto full = RejectOne(Milliseconds(300));
+  auto job = MakeJob();
+  job.onlyServer = full;
+  EXPECT_FALSE(Submit(job).has_value());
+  Advance(Milliseconds(301));
+  const auto sent = Find(mAllocator.Tick(mNow), { kVm, job.id });
+  ASSERT_TRUE(sent.has_value());
+  EXPECT_TRUE(sent->send);
+}
+
 } // namespace
 } // namespace magnoliatide::policy
--- a/src/policy/backlog.cpp
+++ b/src/policy/backlog.cpp
@@ -64,6 +64,7 @@
   WaitingJob waiting;
   waiting.key = aKey;
   waiting.job = aJob;
+  waiting.job.vm = aKey.vm;
   waiting.job.outputTokens = std::max(1.0, aJob.outputTokens * mOutputRatio);
   waiting.zone = aZone;
   waiting.work = mPool.WorkOf(waiting.job);
--- a/src/policy/server_pool.cpp
+++ b/src/policy/server_pool.cpp
@@ -86,6 +86,7 @@
     entry->healthByZone.clear();
     entry->speed = ServerSpeed();
     entry->rateLimit = ServerRateLimit();
+    entry->backoff = ServerBackoff();
   }
   entry->rateLimit.SetShare(mRateLimitShare);
   entry->descriptor = aServer;
@@ -153,6 +154,45 @@
   }
 }
 
+void
+ServerPool::MergeBackoff(const BackoffNotice& aNotice, TimePoint aNow)
+{
+  auto* server = Find(aNotice.server);
+  if (server != nullptr && server->descriptor.started == aNotice.started) {
+    server->backoff.Merge(aNotice, aNow);
+    std::erase_if(mHeldBackUntil,
+                  [&](const auto& aEntry) { return aEntry.second <= aNow; });
+    auto& until = mHeldBackUntil[aNotice.vm];
+    until = std::max(until, aNotice.until);
+  }
+}
+
+bool
+ServerPool::HoldsBack(std::uint64_t aVm, TimePoint aNow) const
+{
+  const auto found = mHeldBackUntil.find(aVm);
+  return found != mHeldBackUntil.end() && found->second > aNow;
+}
+
+std::optional<TimePoint>
+ServerPool::BackoffEnd(const Job& aJob,
+                       const std::string& aZone,
+                       TimePoint aNow) const
+{
+  std::optional<TimePoint> first;
+  for (const auto& [id, server] : mServers) {
+    if (!IsUsable(*server, aJob, aZone, aNow)) {
+      continue;
+    }
+    const auto end = server->backoff.EndFor(aJob.vm, aNow);
+    if (end <= aNow) {
+      return std::nullopt;
+    }
+    first = first ? std::min(*first, end) : end;
+  }
+  return first;
+}
+
 void
 ServerPool::RemoveMissing(const routing::Roster& aRoster)
 {
@@ -422,6 +462,17 @@
                        const Job& aJob,
                        const std::string& aZone,
                        TimePoint aNow) const
+{
+  return aServer.backoff.EndFor(aJob.vm, aNow) <= aNow &&
+         IsUsable(aServer, aJob, aZone, aNow);
+}
+
+/// As IsEligible(), also for a server that holds the request back.
+bool
+ServerPool::IsUsable(const PoolServer& aServer,
+                     const Job& aJob,
+                     const std::string& aZone,
+                     TimePoint aNow) const
 {
   if (aServer.descriptor.leaving ||
       Contains(aJob.excludedServers, aServer.descriptor.id)) {
@@ -475,6 +526,9 @@
 {
   const int free = SlotsOf(aServer) + InTransitOf(aServer) + mQueueDepth -
                    static_cast<int>(aServer.running.size());
+  if (aServer.backoff.HoldsAll(aNow)) {
+    return 0;
+  }
   if (!aServer.rateLimit.IsActive()) {
     return free;
   }
@@ -573,7 +627,8 @@
   for (auto* server : mOpenServers) {
     const bool emptier = best.server == nullptr ||
                          server->running.size() < best.server->running.size();
-    if (FreeSlotsOf(*server, aNow) > 0 && emptier) {
+    const bool heldBack = server->backoff.EndFor(aJob.vm, aNow) > aNow;
+    if (FreeSlotsOf(*server, aNow) > 0 && emptier && !heldBack) {
       best = Predict(*server, aJob, aZone, aNow);
       best.probe = true;
     }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -49,7 +49,7 @@
 template<>
 constexpr std::uint8_t kEnumValueCount<KeyOutcome> = 4;
 template<>
-constexpr std::uint8_t kEnumValueCount<DispatchDecision> = 7;
+constexpr std::uint8_t kEnumValueCount<DispatchDecision> = 8;
 
 /// Whether T is a struct from messages.h, which is encoded field by field.
 template<typename T>
@@ -173,6 +173,7 @@
     Each(aVisit, aV.number, aV.ended, aV.result, aV.outputTokens);
     Each(aVisit, aV.laterTokens, aV.firstEventMicros, aV.totalMicros);
     Each(aVisit, aV.serverDown, aV.hasHead, aV.rateLimit);
+    Each(aVisit, aV.backoffMillis);
   } else if constexpr (kIs<T, RunningRequest>) {
     Each(aVisit, aV.number, aV.service, aV.server, aV.promptTokens);
     Each(aVisit, aV.outputTokens, aV.gapTargetMillis, aV.ageMillis, aV.stream);
@@ -183,9 +184,11 @@
     Each(aVisit, aV.service, aV.requests, aV.retries);
   } else if constexpr (kIs<T, ServerRateLimit>) {
     Each(aVisit, aV.server, aV.started, aV.perSecond, aV.ageMillis);
+  } else if constexpr (kIs<T, ServerBackoff>) {
+    Each(aVisit, aV.server, aV.started, aV.remainingMillis);
   } else if constexpr (kIs<T, DispatchReport>) {
     Each(aVisit, aV.names, aV.running, aV.complete, aV.quotas, aV.retries);
-    Each(aVisit, aV.rateLimits, aV.ageMillis);
+    Each(aVisit, aV.rateLimits, aV.backoffs, aV.ageMillis);
   } else if constexpr (kIs<T, ReplicaItem>) {
     Each(aVisit, aV.key, aV.value, aV.revision, aV.removed);
   } else if constexpr (kIs<T, ReplicaUpdate>) {
--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -145,6 +145,7 @@
   {
     Post([this, aId] {
       mLeavingHeader.clear();
+      mBackoffHeader.clear();
       {
         std::lock_guard<std::mutex> lock(mMutex);
         mOptions.id = aId;
@@ -167,6 +168,14 @@
     Post([this] { mLeavingHeader = "Server-Leaving: 1\r\n"; });
   }
 
+  void NameBackoff(const std::string& aSeconds) override
+  {
+    Post([this, aSeconds] {
+      mBackoffHeader =
+        aSeconds.empty() ? "" : "Retry-After: " + aSeconds + "\r\n";
+    });
+  }
+
   std::string Entry(bool aLeaving) const override
   {
     std::lock_guard<std::mutex> lock(mMutex);
@@ -313,7 +322,8 @@
     }
     if (fault == EngineFault::kFull ||
         mRunning >= mOptions.slots + mOptions.queue) {
-      co_return co_await Refuse(aSocket, 503, "Not-Executed: 1\r\n", id);
+      co_return co_await Refuse(
+        aSocket, 503, "Not-Executed: 1\r\n" + mBackoffHeader, id);
     }
     co_return co_await Run(aSocket, aBuffer, aParser, fault, arrived);
   }
@@ -731,6 +741,7 @@
   // The members below are used on the event loop only.
   int mRunning = 0;
   std::string mLeavingHeader; ///< As mLimitHeader.
+  std::string mBackoffHeader; ///< As mLimitHeader; of rejections only.
   std::string mLimitHeader;   ///< With its line end; empty for none.
   RefusalFault mRefusalFault;
   /// Refusals that are to be written once more, by connection.
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -167,6 +167,10 @@
   /// otherwise the same, and the entry in the store is not changed.
   virtual void AnnounceLeaving() = 0;
 
+  /// Adds Retry-After to the answers that reject a request as full, with this
+  /// text as its value. An empty text adds none.
+  virtual void NameBackoff(const std::string& aSeconds) = 0;
+
   /// Returns when each request was received, run or not.
   virtual std::vector<TimePoint> ArrivalTimes() const = 0;
 
