Turn to the same coordinator when another zone is cut off

Cause: once two coordinators had not replied, a VM tried only VMs of its own zone. If both were in one zone that was cut off, each other zone turned to a coordinator of its own, and each of these filled all servers until the loss was known to all.

Change: after two VMs of another zone have not replied, the rest of that zone is skipped; only when two other zones have not replied, the VM's own zone remains.

--- a/src/fleet/dispatch_client.cpp
+++ b/src/fleet/dispatch_client.cpp
@@ -10,9 +10,13 @@
 /// Number of running requests that fit into a report.
 constexpr std::size_t kMaxReportedRequests = 30;
 
-/// Number of unresponsive coordinators from which on only VMs of this zone are
-/// tried.
-constexpr std::size_t kMaxUnresponsive = 2;
+/// Number of unresponsive coordinators of another zone from which on its other
+/// VMs are not tried.
+constexpr std::size_t kMaxUnresponsiveOfZone = 2;
+
+/// Number of other zones with unresponsive coordinators from which on only VMs
+/// of this zone are tried.
+constexpr std::size_t kMaxUnresponsiveZones = 2;
 
 /// Number of rate limits, and of backoffs, that fit into a report.
 constexpr std::size_t kMaxReportedNotices = 40;
@@ -114,17 +118,24 @@
 std::uint64_t
 DispatchClient::ChooseCoordinator(TimePoint aNow) const
 {
-  // If the preferred coordinators do not reply, their whole zones may be
-  // unreachable. A VM of this zone is more likely to answer.
-  std::size_t unresponsive = 0;
+  // A zone whose preferred coordinators do not reply may be cut off: the others
+  // turn to the first VM of another zone, which is the same for all of them. If
+  // several zones do not reply, this one may be cut off.
+  std::map<std::string, std::size_t> unresponsive;
   for (const auto& candidate : mCandidates) {
     const auto entry = mUnresponsive.find(candidate.process);
     if (entry != mUnresponsive.end() && aNow < entry->second) {
-      unresponsive += 1;
+      unresponsive[candidate.zone] += 1;
       continue;
     }
     const bool sameZone = candidate.zone == mOptions.zone;
-    if (sameZone || unresponsive < kMaxUnresponsive) {
+    const auto zone = unresponsive.find(candidate.zone);
+    const bool zoneReplies =
+      zone == unresponsive.end() || zone->second < kMaxUnresponsiveOfZone;
+    const bool othersReply =
+      unresponsive.size() - unresponsive.count(mOptions.zone) <
+      kMaxUnresponsiveZones;
+    if (sameZone || (zoneReplies && othersReply)) {
       return candidate.process;
     }
   }
