Print the unserved calls of a soak finding

The finding "calls are served after a pause" gave only two numbers, so an overload could not be told from a fault. It now lists kind, status and answer of the calls that count and were not served; the check is unchanged.

--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -717,6 +717,7 @@
   {
     int total = 0;
     int served = 0;
+    std::map<std::string, int> others; // By kind, status and answer.
     for (const auto& call : mHistory.calls) {
       if (call.sentAt < aFrom || call.sentAt > aUntil ||
           call.kind == Kind::kProbe || call.callerDisconnected ||
@@ -727,9 +728,18 @@
       const bool counts = terms.hasRoute && terms.hasServers;
       total += counts ? 1 : 0;
       served += counts && call.Served() ? 1 : 0;
+      if (counts && !call.Served()) {
+        others["\n    route-" + std::to_string(static_cast<int>(call.kind)) +
+               " " + std::to_string(call.httpStatus) + " " + call.answer] += 1;
+      }
     }
     if (total >= kMinSample && served < kMinServedFraction * total) {
-      Add(aGuarantee, std::to_string(served) + " of " + std::to_string(total));
+      std::string text =
+        std::to_string(served) + " of " + std::to_string(total);
+      for (const auto& [answer, count] : others) {
+        text += answer + ": " + std::to_string(count);
+      }
+      Add(aGuarantee, text);
     }
   }
 
