Wait before a rejected request is sent again

Change: a server is avoided for 50 ms after a rejection, doubling up to 400 ms until it runs a request. A request's first retry after a rejection is immediate, further ones wait 25 to 200 ms, doubling, in the queue.

Result: AllocatorPause.AFullServerIsAvoidedForATimeThatDoubles and ARequestIsNotSentBeforeItsDelay pass (they use what did not exist before).

--- a/include/magnoliatide/policy/allocator.h
+++ b/include/magnoliatide/policy/allocator.h
@@ -204,7 +204,7 @@
     kDecided, ///< Sent or rejected.
     kAllBusy, ///< All usable servers are busy.
     /// Would be late at the free servers, but in time at a slot that is about
-    /// to be released.
+    /// to be released; or may not be sent yet.
     kWaitForSlot,
     /// It is suspected of crashing servers, and a request with the same suspect
     /// trait is running that has not begun its answer.
--- a/include/magnoliatide/policy/job.h
+++ b/include/magnoliatide/policy/job.h
@@ -56,8 +56,9 @@
   TimePoint arrival;
   /// Latency target, from the arrival to the response or its first event.
   Duration target{};
-  Duration gapTarget{}; ///< Longest gap between events; zero without a limit.
-  TimePoint deadline;   ///< A response after this time is of no use.
+  Duration gapTarget{};  ///< Longest gap between events; zero without a limit.
+  TimePoint deadline;    ///< A response after this time is of no use.
+  TimePoint notBefore{}; ///< Is not sent earlier; zero without a limit.
   /// Ids of servers that the request must not be sent to again.
   std::vector<std::string> excludedServers;
   /// Id of the only server that it may be sent to; empty: any.
--- a/include/magnoliatide/policy/server_backoff.h
+++ b/include/magnoliatide/policy/server_backoff.h
@@ -1,6 +1,6 @@
-// The times for which a backend server wants no requests after it has rejected
-// one as full (Retry-After). A server names such a time to one VM. That VM
-// sends it nothing until then; the others avoid it for a short time, since a
+// The times for which a backend server is sent no requests after it has
+// rejected one as full. If the server names a time to a VM (Retry-After), that
+// VM sends it nothing until then. All others avoid it for a short time, since a
 // server that is full for one VM is mostly full for all.
 #ifndef MAGNOLIATIDE_POLICY_SERVER_BACKOFF_H
 #define MAGNOLIATIDE_POLICY_SERVER_BACKOFF_H
@@ -34,6 +34,13 @@
   /// order.
   void Merge(const BackoffNotice& aNotice, TimePoint aNow);
 
+  /// Records that the server has rejected a request as full. It is avoided for
+  /// a time that doubles with each rejection up to a limit.
+  void RecordFull(TimePoint aNow);
+
+  /// Records that the server has run a request, which ends the doubling.
+  void RecordAccepted() { mFullDelay = Duration::zero(); }
+
   /// Returns from when on a request of a VM may be sent to the server; not
   /// after aNow if it may be sent at once.
   TimePoint EndFor(std::uint64_t aVm, TimePoint aNow) const;
@@ -43,7 +50,8 @@
 
 private:
   std::map<std::uint64_t, TimePoint> mUntilByVm; ///< By process.
-  TimePoint mSharedUntil{}; ///< For VMs that got no such answer.
+  TimePoint mSharedUntil{};                      ///< For all VMs.
+  Duration mFullDelay{}; ///< After the last rejection; zero: none since a run.
 };
 
 } // namespace magnoliatide::policy
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -94,6 +94,9 @@
   job.failed = aRequest.failed;
   job.retryAllowed = aRequest.retryAllowed;
   job.quotaUnits = aRequest.units;
+  if (aRequest.delayMillis > 0) {
+    job.notBefore = aNow + Milliseconds(aRequest.delayMillis);
+  }
   return job;
 }
 
@@ -123,6 +126,9 @@
   request.failed = aJob.failed;
   request.retryAllowed = aJob.retryAllowed;
   request.units = static_cast<float>(aJob.quotaUnits);
+  if (aJob.notBefore > aNow) {
+    request.delayMillis = ToMillis(aJob.notBefore - aNow);
+  }
   return request;
 }
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <set>
 
@@ -33,6 +34,21 @@
 constexpr char kDeadlinePassed[] =
   "the deadline passed while the request waited";
 
+/// Returns how long a request waits before it is sent again after rejections by
+/// full servers. The first retry is immediate: mostly a single server is full.
+Duration
+RetryDelay(int aRejections)
+{
+  constexpr Duration kFirstDelay = Milliseconds(25);
+  constexpr Duration kMaxDelay = Milliseconds(200);
+  constexpr int kMaxDoublings = 3;
+  if (aRejections < 2) {
+    return Duration::zero();
+  }
+  const int doublings = std::min(aRejections - 2, kMaxDoublings);
+  return std::min<Duration>(kFirstDelay * (1 << doublings), kMaxDelay);
+}
+
 /// Returns the name under which an unknown credential is logged, or empty if
 /// the refusal has another reason.
 std::string
@@ -224,6 +240,10 @@
     LogSend(params, *aRequest, decision);
     const SendEnd end = co_await RunSends(aRequest, decision);
     aRequest->job.onlyServer.clear();
+    if (end.report.result == policy::SendResult::kFull) {
+      aRequest->rejections += 1;
+      aRequest->job.notBefore = Clock::now() + RetryDelay(aRequest->rejections);
+    }
     aRequest->mayHaveRun |=
       end.outcome == SendOutcome::kLost || end.outcome == SendOutcome::kFailed;
     if (end.outcome == SendOutcome::kAnswered &&
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -55,7 +55,8 @@
   bool expired = false;            ///< The deadline has passed.
   bool ended = false;      ///< The final answer is being or was written.
   bool mayHaveRun = false; ///< After a send that was lost or failed.
-  int runs = 0; ///< Number of servers that run it or may have run it.
+  int runs = 0;       ///< Number of servers that run it or may have run it.
+  int rejections = 0; ///< By servers that were full.
   /// Ids of servers that were silent while another one took the stream over.
   std::vector<std::string> leftServers;
   std::optional<http::Response> answer; ///< Complete, to be sent.
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -611,6 +611,9 @@
 Allocator::TrySendResult
 Allocator::TrySend(DispatchPass& aPass, const WaitingJob& aWaiting)
 {
+  if (aPass.now < aWaiting.job.notBefore) {
+    return TrySendResult::kWaitForSlot;
+  }
   auto& pool = aPass.service.pool;
   const auto traits =
     mSuspects.Empty() ? std::vector<Trait>() : TraitsOf(aWaiting.job);
--- a/src/policy/allocator_pause_test.cpp
+++ b/src/policy/allocator_pause_test.cpp
@@ -202,6 +202,57 @@
   ASSERT_TRUE(Find(sent, { kOtherVm, other.id }).has_value());
 }
 
+// Guards against the next try at a full server at once, if the server names no
+// time.
+TEST_F(AllocatorPause, AFullServerIsAvoidedForATimeThatDoubles)
+{
+  SetServers(1, 4);
+  const auto reject = [&] {
+    const auto job = MakeJob();
+    EXPECT_TRUE(Submit(job)->send);
+    SendReport report;
+    report.result = SendResult::kFull;
+    mAllocator.Finish({ kVm, job.id }, report, mNow);
+  };
+  for (const auto delay : { 50, 100, 200, 400, 400 }) {
+    reject();
+    const auto early = MakeJob();
+    EXPECT_FALSE(Submit(early).has_value()) << delay;
+    Advance(Milliseconds(delay - 1));
+    EXPECT_TRUE(mAllocator.Tick(mNow).empty()) << delay;
+    Advance(Milliseconds(2));
+    EXPECT_EQ(mAllocator.Tick(mNow).size(), 1U) << delay;
+    SendReport cancelled;
+    cancelled.result = SendResult::kCancelled;
+    mAllocator.Finish({ kVm, early.id }, cancelled, mNow);
+  }
+  const auto whole = MakeJob();
+  ASSERT_TRUE(Submit(whole)->send);
+  mAllocator.Finish({ kVm, whole.id }, SendReport(), mNow);
+  reject();
+  Advance(Milliseconds(51));
+  EXPECT_TRUE(Submit(MakeJob())->send);
+}
+
+// Guards against a request that tries one full server after the other within a
+// few milliseconds, as in a partition in which several VMs decide.
+TEST_F(AllocatorPause, ARequestIsNotSentBeforeItsDelay)
+{
+  SetServers(6, 4);
+  auto job = MakeJob();
+  job.serversReached = 2;
+  job.excludedServers = { "z-1", "z-2" };
+  job.notBefore = mNow + Milliseconds(25);
+  EXPECT_FALSE(Submit(job).has_value());
+  EXPECT_TRUE(Submit(MakeJob())->send);
+  Advance(Milliseconds(24));
+  EXPECT_TRUE(mAllocator.Tick(mNow).empty());
+  Advance(Milliseconds(2));
+  const auto sent = Find(mAllocator.Tick(mNow), { kVm, job.id });
+  ASSERT_TRUE(sent.has_value());
+  EXPECT_TRUE(sent->send);
+}
+
 // Guards against a backoff that outlives the server that named it.
 TEST_F(AllocatorPause, ARestartedServerIsUsedAtOnce)
 {
--- a/src/policy/server_backoff.cpp
+++ b/src/policy/server_backoff.cpp
@@ -11,6 +11,10 @@
 /// the server does not ask them to, and rejects their requests at once.
 constexpr Duration kSharedBackoff = Milliseconds(500);
 
+/// How long a server is avoided after one rejection, and at most after many.
+constexpr Duration kMinFullDelay = Milliseconds(50);
+constexpr Duration kMaxFullDelay = Milliseconds(400);
+
 } // namespace
 
 void
@@ -30,6 +34,17 @@
   }
 }
 
+void
+ServerBackoff::RecordFull(TimePoint aNow)
+{
+  // Several requests may have been on their way when the server became full.
+  if (aNow < mSharedUntil) {
+    return;
+  }
+  mFullDelay = std::clamp(mFullDelay * 2, kMinFullDelay, kMaxFullDelay);
+  mSharedUntil = aNow + mFullDelay;
+}
+
 TimePoint
 ServerBackoff::EndFor(std::uint64_t aVm, TimePoint aNow) const
 {
--- a/src/policy/server_pool.cpp
+++ b/src/policy/server_pool.cpp
@@ -294,7 +294,11 @@
   aRunning.server->healthByZone[aRunning.zone].Record(
     result, failureRate, aNow);
   UpdateReachability(aRunning, result, aNow);
+  if (result == SendResult::kFull) {
+    aRunning.server->backoff.RecordFull(aNow);
+  }
   if (result == SendResult::kWhole || result == SendResult::kFailed) {
+    aRunning.server->backoff.RecordAccepted();
     const double failed = result == SendResult::kFailed ? 1 : 0;
     failureRate += kFailureSampleWeight * (failed - failureRate);
   }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -163,7 +163,8 @@
          aV.serversReached,
          aV.failed,
          aV.retryAllowed,
-         aV.units);
+         aV.units,
+         aV.delayMillis);
   } else if constexpr (kIs<T, DispatchReply>) {
     Each(aVisit, aV.number, aV.decision, aV.server, aV.probe, aV.trial);
     Each(aVisit, aV.retryAfterMillis, aV.why);
