Let late requests wait for servers that are full for a moment

Cause: a request whose target had passed was refused at once if all usable servers were held back, even for the 50 ms after a single rejection; on a service with one to three servers that refuses requests that could be served.

Change: up to 0.5 s it waits; it is refused only for longer times, or if its caller gives up before.

--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -30,6 +30,9 @@
 /// others with the same trait.
 constexpr Duration kMaxTrialTime = Seconds(2);
 
+/// A request that is late anyway waits this long for servers that are all full.
+constexpr Duration kMaxWaitForFullServers = Milliseconds(500);
+
 constexpr Duration kMinRetryAfter = Milliseconds(100);
 constexpr Duration kMaxRetryAfter = Seconds(5);
 constexpr Duration kNoServerRetryAfter = Milliseconds(500);
@@ -652,15 +655,16 @@
   return TrySendResult::kDecided;
 }
 
-/// Rejects a request that all usable servers hold back if it would be late when
-/// the first one takes requests again. Returns whether it did. Its caller is
-/// told that time.
+/// Rejects a request that all usable servers hold back for long, if it would be
+/// late when the first one takes requests again. Returns whether it did. Its
+/// caller is told that time.
 bool
 Allocator::RejectHeldBack(DispatchPass& aPass,
                           const WaitingJob& aWaiting,
                           TimePoint aEnd)
 {
-  if (aEnd <= std::min(aWaiting.latestStart, aWaiting.giveUpAt)) {
+  const bool isShort = aEnd <= aPass.now + kMaxWaitForFullServers;
+  if (aEnd <= aWaiting.giveUpAt && (isShort || aEnd <= aWaiting.latestStart)) {
     return false;
   }
   const Duration wait = aEnd - aPass.now;
--- a/src/policy/allocator_pause_test.cpp
+++ b/src/policy/allocator_pause_test.cpp
@@ -184,6 +184,25 @@
   EXPECT_TRUE(sent->send);
 }
 
+// Guards against refusing a request that is late already although a server is
+// only avoided for a moment.
+TEST_F(AllocatorPause, ALateRequestWaitsForAServerThatIsAvoidedForAMoment)
+{
+  SetServers(1, 4);
+  const auto rejected = MakeJob();
+  ASSERT_TRUE(Submit(rejected)->send);
+  SendReport report;
+  report.result = SendResult::kFull;
+  mAllocator.Finish({ kVm, rejected.id }, report, mNow);
+  auto late = MakeJob();
+  late.arrival = mNow - Seconds(2);
+  EXPECT_FALSE(Submit(late).has_value());
+  Advance(Milliseconds(51));
+  const auto sent = Find(mAllocator.Tick(mNow), { kVm, late.id });
+  ASSERT_TRUE(sent.has_value());
+  EXPECT_TRUE(sent->send);
+}
+
 // Guards against requests of other VMs that are held up behind one that no
 // server takes.
 TEST_F(AllocatorPause, AVmThatIsHeldBackDoesNotHoldUpOthers)
