--- a/tests/server_leaving_process_test.cpp
+++ b/tests/server_leaving_process_test.cpp
@@ -1,6 +1,6 @@
 // Guards against new requests to a server that says in its answers that it
-// leaves, while the store still lists it as ready. Real VM processes run with
-// test doubles of the store and the servers.
+// leaves (Server-Leaving: 1), while the store still lists it as ready. Real VM
+// processes run with test doubles of the store and the servers.
 #include "platform_fleet.h"
 
 #include <gtest/gtest.h>
