Count a crash if the server is back at its check

Cause: on the registry platform the check after a lost answer was answered by the restarted server. If that server had never answered this VM, its incarnation counted as unchanged, so the loss was taken for one of the connection and the request was not suspected.

Change: a loss is one of the connection only if the same incarnation answered before. A stand-in can now restart at a prompt without ending its process.

--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -316,9 +316,9 @@
   }
 }
 
-/// Records which incarnation of a server answered. Returns false if it differs
-/// from the previous one: the server has restarted in between, even if no check
-/// found it down.
+/// Records which incarnation of a server answered. Returns whether it is the
+/// one that answered before. If not, or if none has answered yet, the server
+/// may have restarted in between, even if no check found it down.
 bool
 Gateway::Core::RecordIncarnation(const std::string& aBackend,
                                  std::string_view aIncarnation)
@@ -333,9 +333,9 @@
     }
   }
   decltype(incarnations)::accessor entry;
-  const bool first = incarnations.insert(entry, aBackend);
+  incarnations.insert(entry, aBackend);
   entry->second = std::string(aIncarnation);
-  return first;
+  return false;
 }
 
 void
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -39,6 +39,8 @@
   bool unhealthy = false; ///< GET /health answers 503.
   bool oddOrders = false; ///< Reports an order whose generation is -1.
   std::string crashOn;    ///< Prompts that contain this text end the process.
+  std::string restartOn;  ///< Prompts that contain this text get no answer, and
+                          ///< the process is another incarnation from then on.
 };
 
 struct Prompt
@@ -139,6 +141,12 @@
         prompt.text.find(mFaults.crashOn) != std::string::npos) {
       std::_Exit(134); // The exit code that a shell reports for SIGABRT.
     }
+    if (!mFaults.restartOn.empty() &&
+        prompt.text.find(mFaults.restartOn) != std::string::npos) {
+      mIncarnation = ToHex(RandomId());
+      aExchange.Abort();
+      co_return;
+    }
     if (mFaults.silent) {
       co_await Pause(kSilenceTime);
       co_return;
@@ -388,6 +396,8 @@
       NumberParameter(aRequest, "cross", mFaults.crossedAnswers));
     const auto crash = http::QueryParameter(aRequest, "crash-on");
     mFaults.crashOn = crash.empty() ? mFaults.crashOn : crash;
+    const auto restart = http::QueryParameter(aRequest, "restart-on");
+    mFaults.restartOn = restart.empty() ? mFaults.restartOn : restart;
   }
 
   std::string RunsJson() const
--- a/tests/backends_process_test.cpp
+++ b/tests/backends_process_test.cpp
@@ -140,5 +140,31 @@
             static_cast<int>(harmless.size()));
 }
 
+// Guards against a request that crashes one server after another, because each
+// has restarted before it is checked, and the VM has had no answer from its
+// former incarnation.
+TEST(Backends, ACrashIsNotedIfTheServerIsBackAtItsCheck)
+{
+  load::Fleet fleet(SmallFleet("back-at-check"));
+  ASSERT_TRUE(fleet.Start());
+  for (std::size_t i = 0; i < 3; ++i) {
+    fleet.SetFaults(fleet.Backends()[i].address, "restart-on=BOOM");
+  }
+  auto crashing = Quotes(1, Seconds(1));
+  crashing.promptText = "BOOM ";
+  for (std::size_t send = 0; send < 3; ++send) {
+    const auto record = SendOne(fleet, crashing, send, "", 99);
+    if (send < 2) {
+      EXPECT_EQ(record.outcome, SendOutcome::kUnknown) << record.reason;
+    } else {
+      EXPECT_EQ(record.outcome, SendOutcome::kNotRun);
+      EXPECT_EQ(record.reason, "harmful-request");
+    }
+    // Waits until the suspicion has reached the other VMs.
+    std::this_thread::sleep_for(Milliseconds(800));
+  }
+  EXPECT_EQ(RunsAt(fleet, 0) + RunsAt(fleet, 1) + RunsAt(fleet, 2), 2u);
+}
+
 } // namespace
 } // namespace magnoliatide::tests
