Let the soak expect no more of a service than its servers can run

Trace (a trial with the figures behind each refusal): the refused calls are late ones of the service "speech", two servers with room for 4 runs each. A random configuration directs 12 to 13 seconds of work a second to it, which are in time and have precedence. So the check was wrong: it required that 90% are served of more than can be run.

It is replaced by one that counts every call as before, except refusals for overload while the servers of all services that the call may use were used up over the whole span. A refusal of a service with room, or for another reason, counts.

New test RefusalsAfterAPauseAreAllowedOfAUsedUpServiceOnly: found with 0 to 3 of 4 slots in use, with a second server that is free, and for other reasons; not found with all 4. It failed with the old check at that point.

--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -708,9 +708,51 @@
     }
   }
 
+  /// Returns whether the servers of a service ran as much as they have room for
+  /// during a time span.
+  bool IsUsedUp(const std::string& aService,
+                TimePoint aFrom,
+                TimePoint aUntil) const
+  {
+    const auto servers = std::count_if(
+      mHistory.services.begin(),
+      mHistory.services.end(),
+      [&](const auto& aServer) { return aServer.second == aService; });
+    Duration running{};
+    for (const auto& record : mHistory.runs) {
+      const auto service = mHistory.services.find(record.server);
+      if (service != mHistory.services.end() && service->second == aService) {
+        const auto& run = record.run;
+        const bool ended = run.ended != TimePoint{};
+        const auto from = std::max(run.began, aFrom);
+        const auto until = ended ? std::min(run.ended, aUntil) : aUntil;
+        running += std::max(until - from, Duration::zero());
+      }
+    }
+    return running >= (aUntil - aFrom) * servers * mHistory.slotsPerServer;
+  }
+
+  /// Returns whether a call was refused for overload, while all servers that
+  /// may run it were used up during a time span. A configuration may direct
+  /// more calls to a service than it can run.
+  bool RefusedForUse(const CallRecord& aCall,
+                     TimePoint aFrom,
+                     TimePoint aUntil) const
+  {
+    const auto services = TermsFor(aCall).services;
+    return !services.empty() && aCall.httpStatus == 503 &&
+           aCall.signature.empty() &&
+           aCall.answer.find("\"reason\":\"overloaded\"") !=
+             std::string::npos &&
+           std::all_of(
+             services.begin(), services.end(), [&](const auto& aService) {
+               return IsUsedUp(aService, aFrom, aUntil);
+             });
+  }
+
   /// Checks that most calls that were sent in a time span were served. Calls
-  /// that a configuration does not let run and those of the limited team do not
-  /// count.
+  /// that a configuration does not let run, those of the limited team, and
+  /// those refused because their servers were used up do not count.
   void CheckServedBetween(TimePoint aFrom,
                           TimePoint aUntil,
                           const char* aGuarantee)
@@ -725,7 +767,8 @@
         continue;
       }
       const auto terms = TermsFor(call);
-      const bool counts = terms.hasRoute && terms.hasServers;
+      const bool counts = terms.hasRoute && terms.hasServers &&
+                          !RefusedForUse(call, aFrom, aUntil);
       total += counts ? 1 : 0;
       served += counts && call.Served() ? 1 : 0;
       if (counts && !call.Served()) {
--- a/soak/checker_test.cpp
+++ b/soak/checker_test.cpp
@@ -379,6 +379,40 @@
   EXPECT_EQ(ViolatedGuarantees(), "");
 }
 
+// Guards against findings where a configuration directs more calls to a service
+// than it can run, and against refusals of a service with room that are not
+// found.
+TEST_F(Soak, RefusalsAfterAPauseAreAllowedOfAUsedUpServiceOnly)
+{
+  const std::string found = "calls are served after a pause";
+  const std::string overloaded = R"({"error":{"reason":"overloaded"}})";
+  Publish(0, 1);
+  mHistory.services = { { "i-1", "language" } };
+  mHistory.pauses.push_back({ At(2000), At(3000), "i-1" });
+  for (int i = 0; i < 20; ++i) {
+    auto& call = Serve(Kind::kTrend, 4100 + i * 50);
+    call.httpStatus = 503;
+    call.signature.clear();
+    call.answer = overloaded;
+    RemoveRun(mHistory.calls.size() - 1);
+  }
+  EXPECT_EQ(ViolatedGuarantees(), found);
+  for (int slot = 0; slot < mHistory.slotsPerServer; ++slot) {
+    EXPECT_EQ(ViolatedGuarantees(), found);
+    const auto call = Serve(Kind::kTrend, 3500);
+    RemoveRun(mHistory.calls.size() - 1);
+    Run(call, "i-1", 3510, 7100);
+  }
+  EXPECT_EQ(ViolatedGuarantees(), "");
+  mHistory.services["i-2"] = "language";
+  EXPECT_EQ(ViolatedGuarantees(), found);
+  mHistory.services.erase("i-2");
+  for (auto& call : mHistory.calls) {
+    call.answer = call.answer == overloaded ? "" : call.answer;
+  }
+  EXPECT_EQ(ViolatedGuarantees(), found);
+}
+
 TEST_F(Soak, AServiceThatNoConfigurationAllowsIsFound)
 {
   Publish(0, 1);
--- a/soak/record.h
+++ b/soak/record.h
@@ -150,6 +150,8 @@
   std::vector<std::string> vms; ///< Names by index of the VM.
   /// The service of each server, by the server's first id.
   std::map<std::string, std::string> services;
+  /// Runs that each server states to have room for at once.
+  int slotsPerServer = standins::BatchEngineOptions().slots;
   Quota quota;
   TimePoint faultsEndedAt; ///< When the last fault had ended.
 };
