Grant few retries while a VM that has started still learns of others

From its logs: in the second after the loss 274 to 281 VMs coordinate themselves, as none knows another one yet. Each of them grants the whole constant part of the budget; 4,785 of the 9,515 sends from 7.0 s to 8.25 s are repeats.

New tests CoordinatorShares.AVmThatStillLearnsOfOthersGrantsFewRetries, AVmThatJoinsLaterDoesNotReduceTheRetries, RequestCount.*, RetryBudgetOfACoordinator.*; without the change the shares are 1 and each coordinator counts the request.

--- a/include/magnoliatide/fleet/coordinator_shares.h
+++ b/include/magnoliatide/fleet/coordinator_shares.h
@@ -26,7 +26,12 @@
   /// Sets the live VMs, suspected ones included, and the number of VMs that
   /// should be running.
   void SetMembers(const std::vector<wire::MemberRecord>& aLive,
-                  std::size_t aExpected);
+                  std::size_t aExpected,
+                  TimePoint aNow);
+
+  /// Sets the number of servers, by which a VM that has just started estimates
+  /// the number of VMs.
+  void SetServers(std::size_t aServers) { mServers = aServers; }
 
   /// Records a dispatch request of another VM.
   void RecordRequest(std::uint64_t aVm, TimePoint aNow);
@@ -35,10 +40,15 @@
   /// may grant all of them.
   double SlotShare(TimePoint aNow);
 
-  /// Returns the fraction of quotas, retry budgets and rate limits. The rest is
-  /// left to VMs that may grant it without this one's knowledge.
+  /// Returns the fraction of quotas and rate limits. The rest is left to VMs
+  /// that may grant it without this one's knowledge.
   double LimitShare(TimePoint aNow);
 
+  /// Returns the fraction of the constant part of retry budgets. As long as a
+  /// VM that has started still learns of others, it takes the part of one
+  /// server: after the loss of all VMs each of them is alone at first.
+  double RetryShare(TimePoint aNow);
+
 private:
   /// Returns the number of other VMs that have asked recently.
   std::size_t AskingVms(TimePoint aNow);
@@ -48,6 +58,9 @@
   bool mUndisputed = true;       ///< Ranks first even if no suspicion is true.
   std::size_t mReachableVms = 1; ///< Live and not suspected.
   std::size_t mExpectedVms = 1;
+  std::size_t mServers = 0;
+  TimePoint mGrewAt{};   ///< When mExpectedVms last grew.
+  bool mSettled = false; ///< Has not grown for a time since the start.
   /// When the last request of each other VM arrived.
   std::map<std::uint64_t, TimePoint> mRequests;
 };
--- a/include/magnoliatide/fleet/dispatch_coordinator.h
+++ b/include/magnoliatide/fleet/dispatch_coordinator.h
@@ -43,7 +43,7 @@
   /// Sets the fractions that this coordinator may grant: of each server's
   /// slots, and of quotas, rate limits of servers and the slack of retry
   /// budgets.
-  void SetShares(double aSlotShare, double aQuotaShare);
+  void SetShares(double aSlotShare, double aQuotaShare, double aRetryShare);
 
   /// Submits a request of a VM. TakeReplies() returns the reply, which may be
   /// to wait. A resent request gets the current reply again.
--- a/include/magnoliatide/policy/job.h
+++ b/include/magnoliatide/policy/job.h
@@ -71,6 +71,7 @@
   bool resumes = false; ///< Continues a response that was partly delivered.
   bool failed = false;  ///< A server answered it with a server error.
   bool retryAllowed = false; ///< May be sent once more if its server fails it.
+  bool counted = false;      ///< Another coordinator was asked for it before.
 
   /// Returns whether it may be sent to any server.
   bool IsUnrestricted() const
--- a/src/fleet/coordinator_shares.cpp
+++ b/src/fleet/coordinator_shares.cpp
@@ -13,11 +13,16 @@
 /// request from it.
 constexpr Duration kRequestLifetime = Seconds(1);
 
+/// A VM that has started and has learned of no further VM for this time knows
+/// of all that it can reach.
+constexpr Duration kSettleTime = Seconds(1);
+
 } // namespace
 
 void
 CoordinatorShares::SetMembers(const std::vector<wire::MemberRecord>& aLive,
-                              std::size_t aExpected)
+                              std::size_t aExpected,
+                              TimePoint aNow)
 {
   const auto self =
     std::find_if(aLive.begin(), aLive.end(), [&](const auto& aRecord) {
@@ -38,7 +43,11 @@
     mUndisputed = mUndisputed && !RanksBefore(record, *self);
   }
   mReachableVms = std::max<std::size_t>(aLive.size() - suspects, 1);
-  mExpectedVms = std::max({ aExpected, aLive.size(), std::size_t{ 1 } });
+  const auto expected = std::max({ aExpected, aLive.size(), std::size_t{ 1 } });
+  if (expected > mExpectedVms || mGrewAt == TimePoint{}) {
+    mGrewAt = aNow;
+  }
+  mExpectedVms = expected;
 }
 
 void
@@ -73,4 +82,17 @@
   return static_cast<double>(vms) / static_cast<double>(mExpectedVms);
 }
 
+double
+CoordinatorShares::RetryShare(TimePoint aNow)
+{
+  mSettled =
+    mSettled || (mGrewAt != TimePoint{} && aNow - mGrewAt >= kSettleTime);
+  const double share = LimitShare(aNow);
+  if (mSettled || mServers <= mExpectedVms) {
+    return share;
+  }
+  return share * static_cast<double>(mExpectedVms) /
+         static_cast<double>(mServers);
+}
+
 } // namespace magnoliatide::fleet
--- a/src/fleet/coordinator_shares_test.cpp
+++ b/src/fleet/coordinator_shares_test.cpp
@@ -30,7 +30,7 @@
 TEST(CoordinatorShares, TheFirstVmGrantsEverything)
 {
   CoordinatorShares shares(1);
-  shares.SetMembers(AllAlive(), kVms);
+  shares.SetMembers(AllAlive(), kVms, kStart);
   EXPECT_EQ(shares.SlotShare(kStart), 1.0);
   EXPECT_EQ(shares.LimitShare(kStart), 1.0);
 }
@@ -38,7 +38,7 @@
 TEST(CoordinatorShares, AVmThatNoOtherAsksGrantsItsOwnShare)
 {
   CoordinatorShares shares(3);
-  shares.SetMembers(AllAlive(), kVms);
+  shares.SetMembers(AllAlive(), kVms, kStart);
   EXPECT_DOUBLE_EQ(shares.SlotShare(kStart), kOwn);
   EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), kOwn);
 }
@@ -51,7 +51,7 @@
   auto members = AllAlive();
   for (const std::size_t suspect : { 0, 1, 3, 4, 5 }) {
     members[suspect].state = wire::MemberState::kSuspect;
-    shares.SetMembers(members, kVms);
+    shares.SetMembers(members, kVms, kStart);
     EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), kOwn) << suspect;
   }
 }
@@ -64,7 +64,7 @@
   auto members = AllAlive();
   members[4].state = wire::MemberState::kSuspect;
   members[5].state = wire::MemberState::kSuspect;
-  shares.SetMembers(members, kVms);
+  shares.SetMembers(members, kVms, kStart);
   EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), 4 * kOwn);
   EXPECT_EQ(shares.SlotShare(kStart), 1.0);
 }
@@ -74,7 +74,7 @@
 TEST(CoordinatorShares, AVmInPlaceOfTheFirstGrantsTheSharesOfThoseThatAskIt)
 {
   CoordinatorShares shares(2);
-  shares.SetMembers(AllAlive(), kVms);
+  shares.SetMembers(AllAlive(), kVms, kStart);
   shares.RecordRequest(3, kStart);
   shares.RecordRequest(3, kStart);
   shares.RecordRequest(4, kStart);
@@ -89,16 +89,16 @@
 {
   CoordinatorShares shares(2);
   auto members = AllAlive();
-  shares.SetMembers(members, kVms);
+  shares.SetMembers(members, kVms, kStart);
   for (std::uint64_t vm = 3; vm <= kVms; ++vm) {
     shares.RecordRequest(vm, kStart);
   }
   EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), 5 * kOwn);
   members[0].state = wire::MemberState::kSuspect;
-  shares.SetMembers(members, kVms);
+  shares.SetMembers(members, kVms, kStart);
   EXPECT_DOUBLE_EQ(shares.LimitShare(kStart), 5 * kOwn);
   members.erase(members.begin());
-  shares.SetMembers(members, kVms);
+  shares.SetMembers(members, kVms, kStart);
   EXPECT_DOUBLE_EQ(shares.LimitShare(kStart + Seconds(2)), 5 * kOwn);
 }
 
@@ -109,7 +109,7 @@
   CoordinatorShares shares(2);
   auto members = AllAlive();
   members.erase(members.begin());
-  shares.SetMembers(members, kVms - 1);
+  shares.SetMembers(members, kVms - 1, kStart);
   EXPECT_EQ(shares.LimitShare(kStart), 1.0);
 }
 
@@ -117,15 +117,50 @@
 {
   CoordinatorShares shares(1);
   auto members = AllAlive();
-  shares.SetMembers(members, kVms);
+  shares.SetMembers(members, kVms, kStart);
   for (std::uint64_t vm = 2; vm <= kVms; ++vm) {
     shares.RecordRequest(vm, kStart);
   }
   members.erase(members.begin());
-  shares.SetMembers(members, kVms - 1);
+  shares.SetMembers(members, kVms - 1, kStart);
   EXPECT_EQ(shares.LimitShare(kStart), 1.0);
   EXPECT_DOUBLE_EQ(shares.LimitShare(kStart + Seconds(2)), 1.0 / (kVms - 1));
 }
 
+// Guards against retries far beyond the budget after the loss of all VMs: each
+// VM knew of no other at first and granted all of the constant part.
+TEST(CoordinatorShares, AVmThatStillLearnsOfOthersGrantsFewRetries)
+{
+  constexpr std::size_t kServers = 40;
+  CoordinatorShares shares(1);
+  shares.SetServers(kServers);
+  std::vector<wire::MemberRecord> known;
+  TimePoint now = kStart;
+  for (const auto& record : AllAlive()) {
+    known.push_back(record);
+    shares.SetMembers(known, known.size(), now);
+    EXPECT_EQ(shares.LimitShare(now), 1.0);
+    EXPECT_LE(shares.RetryShare(now),
+              static_cast<double>(known.size()) / kServers);
+    now += Milliseconds(900);
+  }
+  EXPECT_LT(shares.RetryShare(now), 1.0);
+  now += Milliseconds(100);
+  EXPECT_EQ(shares.RetryShare(now), 1.0);
+}
+
+// Guards against a VM that gives up its part whenever another one joins.
+TEST(CoordinatorShares, AVmThatJoinsLaterDoesNotReduceTheRetries)
+{
+  CoordinatorShares shares(1);
+  shares.SetServers(40);
+  auto known = AllAlive();
+  known.pop_back();
+  shares.SetMembers(known, known.size(), kStart);
+  EXPECT_EQ(shares.RetryShare(kStart + Seconds(1)), 1.0);
+  shares.SetMembers(AllAlive(), kVms, kStart + Seconds(2));
+  EXPECT_EQ(shares.RetryShare(kStart + Seconds(2)), 1.0);
+}
+
 } // namespace
 } // namespace magnoliatide::fleet
--- a/src/fleet/dispatch_client.cpp
+++ b/src/fleet/dispatch_client.cpp
@@ -159,6 +159,8 @@
 DispatchClient::SendRequest(PendingRequest& aPending, TimePoint aNow)
 {
   mByNumber.erase(aPending.number);
+  // A further coordinator must not count the request once more.
+  aPending.job.counted = aPending.number != 0;
   aPending.number = ++mLastNumber;
   mByNumber[aPending.number] = aPending.job.id;
   aPending.coordinator = ChooseCoordinator(aNow);
--- a/src/fleet/dispatch_client_test.cpp
+++ b/src/fleet/dispatch_client_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -113,5 +114,39 @@
   EXPECT_LE(mTook, Milliseconds(120));
 }
 
+// Guards against a retry budget that grows with each coordinator that is asked
+// for the same request.
+TEST(RequestCount, OnlyTheFirstCoordinatorCountsARequest)
+{
+  DispatchCoordinator local{ DispatchCoordinatorOptions{} };
+  DispatchClientOptions options;
+  options.self = 9;
+  options.zone = "temeke";
+  DispatchClient client(options, local, kStart);
+  client.SetCandidates({ { 1, "ubungo", "vm-1" },
+                         { 2, "kariakoo", "vm-2" },
+                         { 3, "mikocheni", "vm-3" } },
+                       kStart);
+  policy::Job job;
+  job.id = 1;
+  job.service = "language";
+  job.deadline = kStart + Seconds(10);
+  client.Submit(
+    job, [](const wire::DispatchReply&, const std::string&) {}, kStart);
+  std::map<std::uint64_t, int> asked;
+  for (TimePoint now = kStart; now < kStart + Seconds(1); now += kStep) {
+    client.Tick(now);
+    for (const auto& message : client.TakeMessages(now)) {
+      const auto* request = std::get_if<wire::DispatchRequest>(&message.body);
+      if (request != nullptr) {
+        asked[message.to] += 1;
+        EXPECT_EQ(request->counted, message.to != 1) << message.to;
+      }
+    }
+  }
+  EXPECT_GT(asked[1], 1);
+  EXPECT_GT(asked[2], 0);
+}
+
 } // namespace
 } // namespace magnoliatide::fleet
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -93,6 +93,7 @@
   job.serversReached = aRequest.serversReached;
   job.failed = aRequest.failed;
   job.retryAllowed = aRequest.retryAllowed;
+  job.counted = aRequest.counted;
   job.quotaUnits = aRequest.units;
   if (aRequest.delayMillis > 0) {
     job.notBefore = aNow + Milliseconds(aRequest.delayMillis);
@@ -125,6 +126,7 @@
     static_cast<std::uint8_t>(std::min(aJob.serversReached, 255));
   request.failed = aJob.failed;
   request.retryAllowed = aJob.retryAllowed;
+  request.counted = aJob.counted;
   request.units = static_cast<float>(aJob.quotaUnits);
   if (aJob.notBefore > aNow) {
     request.delayMillis = ToMillis(aJob.notBefore - aNow);
@@ -153,11 +155,13 @@
 }
 
 void
-DispatchCoordinator::SetShares(double aSlotShare, double aQuotaShare)
+DispatchCoordinator::SetShares(double aSlotShare,
+                               double aQuotaShare,
+                               double aRetryShare)
 {
   mAllocator.SetShare(aSlotShare);
   mQuotas.SetShare(aQuotaShare);
-  mRetries.SetShare(aQuotaShare);
+  mRetries.SetShare(aRetryShare);
   mAllocator.SetRateLimitShare(aQuotaShare);
 }
 
@@ -213,7 +217,9 @@
     return false;
   }
   if (aJob.serversReached == 0) {
-    mRetries.RecordRequest(aJob.service, aNow);
+    if (!aJob.counted) {
+      mRetries.RecordRequest(aJob.service, aNow);
+    }
   } else if (!mRetries.Take(aJob.service, aNow)) {
     reply.decision = wire::DispatchDecision::kNoRetry;
     reply.retryAfterMillis = ToMillis(kRetryBudgetPause);
--- a/src/fleet/dispatch_coordinator_test.cpp
+++ b/src/fleet/dispatch_coordinator_test.cpp
@@ -92,5 +92,51 @@
   ExpectAllFree();
 }
 
+/// Returns how many retries of a service a coordinator grants after requests.
+int
+RetriesAfter(int aRequests, bool aCounted)
+{
+  DispatchCoordinator coordinator{ DispatchCoordinatorOptions{} };
+  coordinator.SetShares(1, 1, 0);
+  routing::Roster roster;
+  for (int i = 0; i < 2 * aRequests; ++i) {
+    routing::Server server;
+    server.id = "i-" + std::to_string(i);
+    server.service = "language";
+    server.zone = kZone;
+    roster[server.id] = server;
+  }
+  coordinator.SetServers(roster, kStart);
+  std::uint64_t number = 0;
+  const auto submit = [&](int aServersReached) {
+    policy::Job job;
+    job.id = ++number;
+    job.service = "language";
+    job.arrival = kStart;
+    job.deadline = kStart + Seconds(5);
+    job.serversReached = aServersReached;
+    job.counted = aCounted;
+    coordinator.Submit(kVm, kZone, ToWire(number, job, kStart), kStart);
+    const auto replies = coordinator.TakeReplies();
+    return !replies.empty() &&
+           replies.back().reply.decision != wire::DispatchDecision::kNoRetry;
+  };
+  for (int i = 0; i < aRequests; ++i) {
+    submit(0);
+  }
+  int granted = 0;
+  while (granted < aRequests && submit(1)) {
+    granted += 1;
+  }
+  return granted;
+}
+
+TEST(RetryBudgetOfACoordinator, GrowsWithRequestsThatNoOtherCounted)
+{
+  // A tenth of the requests, less the margin.
+  EXPECT_EQ(RetriesAfter(200, false), 14);
+  EXPECT_EQ(RetriesAfter(200, true), 0);
+}
+
 } // namespace
 } // namespace magnoliatide::fleet
--- a/src/node/dispatch_service.cpp
+++ b/src/node/dispatch_service.cpp
@@ -82,7 +82,7 @@
     candidates.push_back(
       { record.process, ZoneOf(record.slot), record.address });
   }
-  mShares.SetMembers(aLive, aExpected);
+  mShares.SetMembers(aLive, aExpected, Clock::now());
   mClient.SetCandidates(std::move(candidates), Clock::now());
   UpdateShares();
   ScheduleFlush();
@@ -92,7 +92,9 @@
 DispatchService::UpdateShares()
 {
   const auto now = Clock::now();
-  mCoordinator.SetShares(mShares.SlotShare(now), mShares.LimitShare(now));
+  mShares.SetServers(mParams.roster()->size());
+  mCoordinator.SetShares(
+    mShares.SlotShare(now), mShares.LimitShare(now), mShares.RetryShare(now));
 }
 
 void
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -163,6 +163,7 @@
          aV.serversReached,
          aV.failed,
          aV.retryAllowed,
+         aV.counted,
          aV.units,
          aV.delayMillis);
   } else if constexpr (kIs<T, DispatchReply>) {
