Let requests that servers rejected wait for the retry budget

Change: such a request waits at the coordinator for up to 1 s, the time for which its caller would be told to stay away, but not until its caller gives up. More urgent tiers get the budget first, and a later retry does not overtake. Failed answers are passed on at once, as before.

New tests RetryBudgetOfACoordinator.*; without the change each of them gets kNoRetry at once.

--- a/include/magnoliatide/fleet/dispatch_coordinator.h
+++ b/include/magnoliatide/fleet/dispatch_coordinator.h
@@ -114,6 +114,12 @@
 
   const policy::Allocator& Allocator() const { return mAllocator; }
 
+  /// Returns whether requests wait for a server or for a retry budget.
+  bool Busy() const
+  {
+    return mAllocator.Waiting() > 0 || !mWaitingRetries.empty();
+  }
+
 private:
   struct ReplyRecord
   {
@@ -125,7 +131,25 @@
     std::string retriedService;
   };
 
-  bool CheckBudgets(std::uint64_t aVm, policy::Job& aJob, TimePoint aNow);
+  /// A retry that waits for the budget of its service.
+  struct WaitingRetry
+  {
+    std::string zone; ///< Of the VM that asks.
+    policy::Job job;
+    TimePoint until; ///< It is rejected then.
+  };
+
+  bool CheckRetryBudget(const policy::JobKey& aKey,
+                        const std::string& aZone,
+                        const policy::Job& aJob,
+                        TimePoint aNow);
+  void RejectRetry(const policy::JobKey& aKey, TimePoint aNow);
+  void SubmitWithinBudget(const policy::JobKey& aKey,
+                          const std::string& aZone,
+                          policy::Job aJob,
+                          TimePoint aNow);
+  void SubmitWaitingRetries(TimePoint aNow);
+  bool CheckQuota(std::uint64_t aVm, policy::Job& aJob, TimePoint aNow);
   void RefundQuota(const policy::JobKey& aKey,
                    wire::DispatchReply& aReply,
                    TimePoint aNow);
@@ -151,6 +175,7 @@
   routing::TablePointer mTable;
   /// The last reply to each request, in case it is resent.
   std::map<policy::JobKey, ReplyRecord> mLastReplies;
+  std::map<policy::JobKey, WaitingRetry> mWaitingRetries;
   /// Start times of the VMs that have sent a report.
   std::map<std::uint64_t, TimePoint> mStartTimes;
   /// Times of the last report or, before any, of the first request.
--- a/src/fleet/dispatch_coordinator.cpp
+++ b/src/fleet/dispatch_coordinator.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace magnoliatide::fleet {
@@ -24,6 +25,13 @@
 /// Retry-after time when the retry budget is used up.
 constexpr Duration kRetryBudgetPause = Seconds(1);
 
+/// Longest time for which a request that no server has run waits for the retry
+/// budget. Its caller would not come back sooner if it were refused.
+constexpr Duration kMaxWaitForBudget = kRetryBudgetPause;
+
+/// Subtracted from a caller's wait limit, so that a rejection arrives in time.
+constexpr Duration kRejectionMargin = Milliseconds(250);
+
 std::uint32_t
 ToMillis(Duration aTime)
 {
@@ -183,50 +191,126 @@
     EnqueueReply(aVm, ToReply(*granted), aNow);
     return;
   }
-  policy::Job job = FromWire(aRequest, aNow);
-  if (!CheckBudgets(aVm, job, aNow)) {
+  auto job = FromWire(aRequest, aNow);
+  if (CheckRetryBudget(key, aZone, job, aNow)) {
+    SubmitWithinBudget(key, aZone, std::move(job), aNow);
+  }
+}
+
+/// Charges a request to its team's quota and submits it to the allocator.
+void
+DispatchCoordinator::SubmitWithinBudget(const policy::JobKey& aKey,
+                                        const std::string& aZone,
+                                        policy::Job aJob,
+                                        TimePoint aNow)
+{
+  if (!CheckQuota(aKey.vm, aJob, aNow)) {
     return;
   }
-  mLastReports.try_emplace(aVm, aNow);
+  mLastReports.try_emplace(aKey.vm, aNow);
   wire::DispatchReply wait;
-  wait.number = aRequest.number;
-  mLastReplies[key] = { wait, aNow, job.team, job.quotaUnits, "" };
-  if (job.serversReached > 0) {
-    mLastReplies[key].retriedService = job.service;
+  wait.number = aKey.job;
+  mLastReplies[aKey] = { wait, aNow, aJob.team, aJob.quotaUnits, "" };
+  if (aJob.serversReached > 0) {
+    mLastReplies[aKey].retriedService = aJob.service;
   }
-  ApplyAllocations(mAllocator.Submit(key, job, aZone, aNow), aNow);
-  const auto& current = mLastReplies[key].reply;
+  ApplyAllocations(mAllocator.Submit(aKey, aJob, aZone, aNow), aNow);
+  const auto& current = mLastReplies[aKey].reply;
   if (current.decision == wire::DispatchDecision::kWait) {
-    mReplies.push_back({ aVm, current });
+    mReplies.push_back({ aKey.vm, current });
   }
 }
 
-/// Charges a request to the retry budget and its team's quota. Rejects it and
-/// returns false if either is used up.
+/// Charges a request to the retry budget, if it is a retry. If the budget is
+/// used up, lets it wait or rejects it, and returns false.
 bool
-DispatchCoordinator::CheckBudgets(std::uint64_t aVm,
-                                  policy::Job& aJob,
-                                  TimePoint aNow)
+DispatchCoordinator::CheckRetryBudget(const policy::JobKey& aKey,
+                                      const std::string& aZone,
+                                      const policy::Job& aJob,
+                                      TimePoint aNow)
 {
   wire::DispatchReply reply;
   reply.number = aJob.id;
   if (aJob.failed && !mAllocator.ShouldRetry(aJob)) {
     reply.decision = wire::DispatchDecision::kNoRetry;
     reply.why = "such requests fail wherever they run";
-    EnqueueReply(aVm, std::move(reply), aNow);
+    EnqueueReply(aKey.vm, std::move(reply), aNow);
     return false;
   }
   if (aJob.serversReached == 0) {
     if (!aJob.counted) {
       mRetries.RecordRequest(aJob.service, aNow);
     }
-  } else if (!mRetries.Take(aJob.service, aNow)) {
-    reply.decision = wire::DispatchDecision::kNoRetry;
-    reply.retryAfterMillis = ToMillis(kRetryBudgetPause);
-    reply.why = "the retry budget of the service is used up";
-    EnqueueReply(aVm, std::move(reply), aNow);
-    return false;
+    return true;
+  }
+  // One that comes later must not take what a more urgent one waits for.
+  const bool othersWait = std::any_of(
+    mWaitingRetries.begin(), mWaitingRetries.end(), [&](const auto& aEntry) {
+      return aEntry.second.job.service == aJob.service;
+    });
+  if (!othersWait && mRetries.Take(aJob.service, aNow)) {
+    return true;
   }
+  const auto until = std::min<TimePoint>(
+    aNow + kMaxWaitForBudget,
+    aJob.arrival + policy::CallerWaitLimit(aJob) - kRejectionMargin);
+  // A failed answer is passed on at once.
+  if (aJob.failed || until <= aNow) {
+    RejectRetry(aKey, aNow);
+  } else {
+    mWaitingRetries[aKey] = { aZone, aJob, until };
+    EnqueueReply(aKey.vm, std::move(reply), aNow);
+  }
+  return false;
+}
+
+void
+DispatchCoordinator::RejectRetry(const policy::JobKey& aKey, TimePoint aNow)
+{
+  wire::DispatchReply reply;
+  reply.number = aKey.job;
+  reply.decision = wire::DispatchDecision::kNoRetry;
+  reply.retryAfterMillis = ToMillis(kRetryBudgetPause);
+  reply.why = "the retry budget of the service is used up";
+  EnqueueReply(aKey.vm, std::move(reply), aNow);
+}
+
+/// Submits waiting retries as far as budgets allow, more urgent tiers first,
+/// and rejects those that have waited too long.
+void
+DispatchCoordinator::SubmitWaitingRetries(TimePoint aNow)
+{
+  std::vector<policy::JobKey> order;
+  for (const auto& [key, waiting] : mWaitingRetries) {
+    order.push_back(key);
+  }
+  std::sort(order.begin(), order.end(), [&](const auto& aA, const auto& aB) {
+    const auto& a = mWaitingRetries.at(aA).job;
+    const auto& b = mWaitingRetries.at(aB).job;
+    return std::tie(a.tier, a.arrival) < std::tie(b.tier, b.arrival);
+  });
+  for (const auto& key : order) {
+    const auto found = mWaitingRetries.find(key);
+    const auto waiting = found->second;
+    if (mRetries.Take(waiting.job.service, aNow)) {
+      mWaitingRetries.erase(found);
+      SubmitWithinBudget(key, waiting.zone, waiting.job, aNow);
+    } else if (aNow >= waiting.until) {
+      mWaitingRetries.erase(found);
+      RejectRetry(key, aNow);
+    }
+  }
+}
+
+/// Charges a request to its team's quota. Rejects it and returns false if the
+/// quota is used up.
+bool
+DispatchCoordinator::CheckQuota(std::uint64_t aVm,
+                                policy::Job& aJob,
+                                TimePoint aNow)
+{
+  wire::DispatchReply reply;
+  reply.number = aJob.id;
   const auto* team = aJob.quotaUnits > 0 ? FindTeam(aJob.team) : nullptr;
   if (team == nullptr) {
     return true;
@@ -314,6 +398,7 @@
     RefundQuota(key, unused, TimePoint{});
     RefundRetry(key);
   }
+  mWaitingRetries.erase(key);
   mLastReplies.erase(key);
 }
 
@@ -484,6 +569,8 @@
   mLastReports.erase(aVm);
   std::erase_if(mLastReplies,
                 [&](const auto& aEntry) { return aEntry.first.vm == aVm; });
+  std::erase_if(mWaitingRetries,
+                [&](const auto& aEntry) { return aEntry.first.vm == aVm; });
   ApplyAllocations(mAllocator.RemoveVm(aVm, aNow), aNow);
 }
 
@@ -491,6 +578,7 @@
 DispatchCoordinator::DropWaiting()
 {
   mAllocator.DropWaiting();
+  mWaitingRetries.clear();
   mLastReplies.clear();
   mReplies.clear();
 }
@@ -499,6 +587,7 @@
 DispatchCoordinator::Tick(TimePoint aNow)
 {
   ApplyAllocations(mAllocator.Tick(aNow), aNow);
+  SubmitWaitingRetries(aNow);
   if (aNow - mLastCleanup < kCleanupPeriod) {
     return;
   }
--- a/src/fleet/dispatch_coordinator_test.cpp
+++ b/src/fleet/dispatch_coordinator_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 
 namespace magnoliatide::fleet {
@@ -92,50 +93,148 @@
   ExpectAllFree();
 }
 
-/// Returns how many retries of a service a coordinator grants after requests.
-int
-RetriesAfter(int aRequests, bool aCounted)
+/// A coordinator with many servers and a retry budget of a tenth of the
+/// requests, less the margin.
+class RetryBudgetOfACoordinator : public ::testing::Test
 {
-  DispatchCoordinator coordinator{ DispatchCoordinatorOptions{} };
-  coordinator.SetShares(1, 1, 0);
-  routing::Roster roster;
-  for (int i = 0; i < 2 * aRequests; ++i) {
-    routing::Server server;
-    server.id = "i-" + std::to_string(i);
-    server.service = "language";
-    server.zone = kZone;
-    roster[server.id] = server;
+protected:
+  RetryBudgetOfACoordinator()
+    : mCoordinator(DispatchCoordinatorOptions{})
+  {
+    mCoordinator.SetShares(1, 1, 0);
+    routing::Roster roster;
+    for (int i = 0; i < 400; ++i) {
+      routing::Server server;
+      server.id = "i-" + std::to_string(i);
+      server.service = "language";
+      server.zone = kZone;
+      roster[server.id] = server;
+    }
+    mCoordinator.SetServers(roster, kStart);
+    mJob.service = "language";
+    mJob.arrival = kStart;
+    mJob.deadline = kStart + Seconds(5);
   }
-  coordinator.SetServers(roster, kStart);
-  std::uint64_t number = 0;
-  const auto submit = [&](int aServersReached) {
-    policy::Job job;
-    job.id = ++number;
-    job.service = "language";
-    job.arrival = kStart;
-    job.deadline = kStart + Seconds(5);
-    job.serversReached = aServersReached;
-    job.counted = aCounted;
-    coordinator.Submit(kVm, kZone, ToWire(number, job, kStart), kStart);
-    const auto replies = coordinator.TakeReplies();
-    return !replies.empty() &&
-           replies.back().reply.decision != wire::DispatchDecision::kNoRetry;
-  };
-  for (int i = 0; i < aRequests; ++i) {
-    submit(0);
+
+  /// Submits a request like mJob and returns its number.
+  std::uint64_t Submit()
+  {
+    mJob.id += 1;
+    mCoordinator.Submit(kVm, kZone, ToWire(mJob.id, mJob, mNow), mNow);
+    TakeReplies();
+    return mJob.id;
+  }
+
+  /// Submits a retry of a tier and returns its number.
+  std::uint64_t Retry(int aTier = 0)
+  {
+    const auto fresh = mJob;
+    mJob.serversReached = 1;
+    mJob.tier = aTier;
+    const auto number = Submit();
+    mJob = fresh;
+    mJob.id = number;
+    return number;
   }
-  int granted = 0;
-  while (granted < aRequests && submit(1)) {
-    granted += 1;
+
+  void SubmitMany(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      Submit();
+    }
   }
-  return granted;
+
+  void Tick(Duration aLater)
+  {
+    mNow += aLater;
+    mCoordinator.Tick(mNow);
+    TakeReplies();
+  }
+
+  /// Returns the last decision on a request.
+  wire::DispatchDecision Of(std::uint64_t aNumber)
+  {
+    return mDecisions.at(aNumber);
+  }
+
+  DispatchCoordinator mCoordinator;
+  policy::Job mJob;
+  TimePoint mNow = kStart;
+
+private:
+  void TakeReplies()
+  {
+    for (const auto& reply : mCoordinator.TakeReplies()) {
+      mDecisions[reply.reply.number] = reply.reply.decision;
+    }
+  }
+
+  std::map<std::uint64_t, wire::DispatchDecision> mDecisions;
+};
+
+TEST_F(RetryBudgetOfACoordinator, GrowsWithRequestsThatNoOtherCounted)
+{
+  const auto granted = [&] {
+    int count = 0;
+    while (Of(Retry()) == wire::DispatchDecision::kSend) {
+      count += 1;
+    }
+    return count;
+  };
+  mJob.counted = true;
+  SubmitMany(100);
+  EXPECT_EQ(granted(), 0);
+  Tick(Seconds(2));
+  mJob.counted = false;
+  SubmitMany(100);
+  EXPECT_EQ(granted(), 7);
 }
 
-TEST(RetryBudgetOfACoordinator, GrowsWithRequestsThatNoOtherCounted)
+// Guards against refusals of requests that no server has run, with the whole
+// time until their deadline left, because the budget is used up for a moment.
+TEST_F(RetryBudgetOfACoordinator, LetsRetriesWaitMoreUrgentOnesFirst)
 {
-  // A tenth of the requests, less the margin.
-  EXPECT_EQ(RetriesAfter(200, false), 14);
-  EXPECT_EQ(RetriesAfter(200, true), 0);
+  const auto late = Retry(2);
+  const auto early = Retry(1);
+  EXPECT_EQ(Of(late), wire::DispatchDecision::kWait);
+  EXPECT_EQ(Of(early), wire::DispatchDecision::kWait);
+  SubmitMany(15);
+  const auto last = Retry(2);
+  EXPECT_EQ(Of(last), wire::DispatchDecision::kWait);
+  Tick(Milliseconds(300));
+  EXPECT_EQ(Of(early), wire::DispatchDecision::kSend);
+  EXPECT_EQ(Of(late), wire::DispatchDecision::kWait);
+  SubmitMany(15);
+  Tick(Milliseconds(300));
+  EXPECT_EQ(Of(late), wire::DispatchDecision::kSend);
+  EXPECT_EQ(Of(last), wire::DispatchDecision::kWait);
+}
+
+TEST_F(RetryBudgetOfACoordinator, RejectsARetryThatHasWaitedOrFailed)
+{
+  const auto waits = Retry();
+  mJob.failed = true;
+  EXPECT_EQ(Of(Retry()), wire::DispatchDecision::kNoRetry);
+  mJob.failed = false;
+  mJob.deadline = mNow + Milliseconds(200);
+  EXPECT_EQ(Of(Retry()), wire::DispatchDecision::kNoRetry);
+  Tick(Milliseconds(900));
+  EXPECT_EQ(Of(waits), wire::DispatchDecision::kWait);
+  Tick(Milliseconds(100));
+  EXPECT_EQ(Of(waits), wire::DispatchDecision::kNoRetry);
+  EXPECT_FALSE(mCoordinator.Busy());
+}
+
+TEST_F(RetryBudgetOfACoordinator, ForgetsARetryThatIsWithdrawn)
+{
+  mCoordinator.Withdraw(kVm, wire::DispatchCancel{ Retry() });
+  EXPECT_FALSE(mCoordinator.Busy());
+  Retry();
+  mCoordinator.RemoveVm(kVm, mNow);
+  EXPECT_FALSE(mCoordinator.Busy());
+  Retry();
+  mCoordinator.DropWaiting();
+  EXPECT_FALSE(mCoordinator.Busy());
 }
 
 } // namespace
--- a/src/node/dispatch_service.cpp
+++ b/src/node/dispatch_service.cpp
@@ -295,7 +295,7 @@
   if (!crashes.empty() || !cleared.empty()) {
     mParams.onSuspects(crashes, cleared);
   }
-  const bool busy = mClient.Busy() || mCoordinator.Allocator().Waiting() > 0;
+  const bool busy = mClient.Busy() || mCoordinator.Busy();
   if (busy && !mTimerFast) {
     ArmTimer();
   }
@@ -304,7 +304,7 @@
 void
 DispatchService::ArmTimer()
 {
-  mTimerFast = mClient.Busy() || mCoordinator.Allocator().Waiting() > 0;
+  mTimerFast = mClient.Busy() || mCoordinator.Busy();
   mTimer.expires_after(mTimerFast ? kBusyTickPeriod : kIdleTickPeriod);
   mTimer.async_wait([this](const boost::system::error_code& aError) {
     if (aError) {
