Let a VM that is alone grant few retries for five seconds

The VMs start at 6.75 s and learn of the first other one between 7.75 and 8 s, as they probe the seeds each second; by then 1 s had passed without growth, so each of them took itself for the only VM again.

Change: a VM that knows of no other one takes the part of one server for 5 s.

--- a/src/fleet/coordinator_shares.cpp
+++ b/src/fleet/coordinator_shares.cpp
@@ -17,6 +17,10 @@
 /// of all that it can reach.
 constexpr Duration kSettleTime = Seconds(1);
 
+/// One that knows of no other VM may have started before all others, or may be
+/// cut off, for longer.
+constexpr Duration kAloneTime = Seconds(5);
+
 } // namespace
 
 void
@@ -85,8 +89,9 @@
 double
 CoordinatorShares::RetryShare(TimePoint aNow)
 {
+  const auto settleTime = mExpectedVms > 1 ? kSettleTime : kAloneTime;
   mSettled =
-    mSettled || (mGrewAt != TimePoint{} && aNow - mGrewAt >= kSettleTime);
+    mSettled || (mGrewAt != TimePoint{} && aNow - mGrewAt >= settleTime);
   const double share = LimitShare(aNow);
   if (mSettled || mServers <= mExpectedVms) {
     return share;
--- a/src/fleet/coordinator_shares_test.cpp
+++ b/src/fleet/coordinator_shares_test.cpp
@@ -149,6 +149,17 @@
   EXPECT_EQ(shares.RetryShare(now), 1.0);
 }
 
+// Guards against the same if joining takes longer than a second: hundreds of
+// VMs took themselves for the only one then.
+TEST(CoordinatorShares, AVmThatIsAloneGrantsFewRetriesForLonger)
+{
+  CoordinatorShares shares(1);
+  shares.SetServers(40);
+  shares.SetMembers({ AllAlive().front() }, 1, kStart);
+  EXPECT_DOUBLE_EQ(shares.RetryShare(kStart + Milliseconds(4900)), 1.0 / 40);
+  EXPECT_EQ(shares.RetryShare(kStart + Seconds(5)), 1.0);
+}
+
 // Guards against a VM that gives up its part whenever another one joins.
 TEST(CoordinatorShares, AVmThatJoinsLaterDoesNotReduceTheRetries)
 {
