Exchange the full state of the membership while a VM learns of others

Until 12 s, 13 VMs coordinate at the same time, as the others rank those that they know.

Cause: messages carry eight records, and all VMs send the same ones first. The exchange of the full state exists, but it follows from a difference in rumours, and there are none after such a loss.

Change: while a VM has learned of another one within 0.5 s and knows of more than a message carries, it asks a random one for an exchange each 0.2 s. A VM that is alone tries the seeds each 0.2 s instead of each second.

--- a/include/magnoliatide/membership/membership.h
+++ b/include/magnoliatide/membership/membership.h
@@ -158,6 +158,7 @@
   void ExpireProbes(TimePoint aNow, std::vector<OutgoingMessage>& aOut);
   void ExpireSuspicions(TimePoint aNow);
   void ProbeNext(TimePoint aNow, std::vector<OutgoingMessage>& aOut);
+  void SyncWhileLearning(TimePoint aNow);
   void ProbeDeadAndSeeds(TimePoint aNow, std::vector<OutgoingMessage>& aOut);
   void SendProbe(const std::string& aSlot,
                  const std::string& aAddress,
@@ -189,6 +190,8 @@
   std::vector<MemberChange> mChanges;
   std::vector<wire::Rumour> mNewRumours;
   std::vector<std::string> mSyncPeers;
+  TimePoint mLearnedAt{}; ///< When a VM became known that was not known before.
+  TimePoint mNextLearningSync{};
   std::uint64_t mNextProbeNumber = 1;
 
   TimePoint mStarted{};
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -14,6 +14,8 @@
 constexpr int kSendsPerDoubling = 3;
 constexpr int kPushTargets = 3;  ///< Members that PushGossip() sends to.
 constexpr int kLeaveTargets = 5; ///< Members that Leave() sends to.
+/// A VM that has learned of another one within this time may lack more of them.
+constexpr Duration kLearningTime = Milliseconds(500);
 /// Time between removals of expired rumours and records.
 constexpr Duration kExpiryPeriod = Seconds(10);
 
@@ -84,12 +86,36 @@
     ProbeNext(aNow, out);
   }
   if (aNow >= mNextDeadProbe) {
-    mNextDeadProbe = aNow + mOptions.deadProbePeriod;
+    // A VM that is alone may have started before the seeds.
+    mNextDeadProbe = aNow + (LiveOthers().empty() ? mOptions.probePeriod
+                                                  : mOptions.deadProbePeriod);
     ProbeDeadAndSeeds(aNow, out);
   }
+  SyncWhileLearning(aNow);
   return out;
 }
 
+/// Asks for exchanges of the full state while this VM learns of others. If
+/// hundreds of VMs start together, messages with a few records each take tens
+/// of seconds to make all of them known to each other.
+void
+Membership::SyncWhileLearning(TimePoint aNow)
+{
+  const bool learning =
+    mLearnedAt != TimePoint{} && aNow - mLearnedAt < kLearningTime;
+  if (!learning || aNow < mNextLearningSync ||
+      mMembers.size() <= mOptions.membersPerMessage) {
+    return;
+  }
+  const auto others = LiveOthers();
+  if (others.empty()) {
+    return;
+  }
+  mNextLearningSync = aNow + mOptions.probePeriod;
+  std::uniform_int_distribution<std::size_t> draw(0, others.size() - 1);
+  mSyncPeers.push_back(mMembers.at(others[draw(mRandom)]).record.address);
+}
+
 void
 Membership::CheckPause(TimePoint aNow)
 {
@@ -356,6 +382,7 @@
       return;
     }
     mMembers[aRecord.slot] = { aRecord, aNow, departedAt };
+    mLearnedAt = aNow;
     QueueUpdate(aRecord.slot);
     mChanges.push_back({ aRecord, wire::MemberState::kDead });
     return;
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <random>
@@ -60,6 +61,7 @@
     while (mNow < end) {
       mNow += kStep;
       Deliver();
+      Sync();
       for (std::size_t i = 0; i < mVms.size(); ++i) {
         if (!mPaused[i]) {
           Send(i, mVms[i]->Tick(mNow));
@@ -68,6 +70,22 @@
     }
   }
 
+  /// Lets the VMs exchange their full state with those they ask for it.
+  void AllowSyncs() { mSyncs = true; }
+
+  /// Returns how many VMs are alive in the view of a VM, itself included.
+  std::size_t AliveIn(std::size_t aBy) const
+  {
+    const auto records = mVms[aBy]->AllMembers();
+    return static_cast<std::size_t>(
+      std::count_if(records.begin(), records.end(), [](const auto& aRecord) {
+        return aRecord.state == wire::MemberState::kAlive;
+      }));
+  }
+
+  /// Returns the number of exchanges.
+  std::size_t Syncs() const { return mSyncCount; }
+
   /// A paused VM neither runs nor receives messages.
   void SetPaused(std::size_t aVm, bool aPaused) { mPaused[aVm] = aPaused; }
   void SetPartition(std::size_t aVm, int aPartition)
@@ -107,6 +125,24 @@
   Membership& At(std::size_t aVm) { return *mVms[aVm]; }
 
 private:
+  /// Carries out at most one exchange of each VM.
+  void Sync()
+  {
+    for (std::size_t vm = 0; mSyncs && vm < mVms.size(); ++vm) {
+      const auto peers = mVms[vm]->TakeSyncPeers();
+      if (peers.empty() || mPaused[vm]) {
+        continue;
+      }
+      const auto peer = std::stoul(peers.front());
+      if (mPaused[peer] || mPartition[vm] != mPartition[peer]) {
+        continue;
+      }
+      mSyncCount += 1;
+      mVms[peer]->MergeGossip(mVms[vm]->FullState(), mNow);
+      mVms[vm]->MergeGossip(mVms[peer]->FullState(), mNow);
+    }
+  }
+
   void Send(std::size_t aFrom, const std::vector<OutgoingMessage>& aMessages)
   {
     std::uniform_real_distribution<double> draw(0, 1);
@@ -138,6 +174,8 @@
     }
   }
 
+  bool mSyncs = false;
+  std::size_t mSyncCount = 0;
   double mLoss;
   std::mt19937_64 mRandom;
   std::vector<bool> mPaused;
@@ -236,6 +274,24 @@
 // Guards against a table of members that grows for months, as VMs are replaced
 // under new names. The record of a VM that died or left is kept only while it
 // may still be serving behind a network partition.
+// Guards against VMs that do not know each other for tens of seconds after the
+// loss of all VMs, so that many of them coordinate.
+TEST(Membership, ManyVmsThatStartTogetherKnowEachOtherWithinTwoSeconds)
+{
+  constexpr std::size_t kVms = 300;
+  Network network(kVms, 0.01, 3);
+  network.AllowSyncs();
+  network.Run(Seconds(2));
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    EXPECT_EQ(network.AliveIn(vm), kVms) << vm;
+  }
+  // In calm, messages alone carry what changes.
+  network.Run(Seconds(2));
+  const auto syncs = network.Syncs();
+  network.Run(Seconds(3));
+  EXPECT_EQ(network.Syncs(), syncs);
+}
+
 TEST(Membership, TheRecordOfADeadVmExpires)
 {
   Membership vm(Network::OptionsFor(0, 1));
