Let requests wait for the first configuration of a VM that starts

The refusal tells the caller to come back after 0.5 s.

Change: a request waits up to those 0.5 s, not beyond its caller's time limit and not at a VM that stops.

New tests FirstConfiguration.*: two of three failed before.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -31,6 +31,12 @@
 /// Other VMs can take a request at once.
 constexpr Duration kStoppingRetryAfter = Milliseconds(100);
 
+/// Longest time for which a request waits for the VM's first configuration,
+/// which a VM that starts mostly gets sooner. If the request were refused, its
+/// caller would be told to wait as long.
+constexpr Duration kMaxWaitForTable = Milliseconds(500);
+constexpr Duration kTablePollInterval = Milliseconds(5);
+
 constexpr char kDeadlinePassed[] =
   "the deadline passed while the request waited";
 
@@ -105,6 +111,7 @@
   }
 
   asio::awaitable<void> Handle(http::Exchange& aExchange);
+  asio::awaitable<void> AwaitTable(RequestPointer aRequest, TimePoint aNow);
   asio::awaitable<void> Serve(RequestPointer aRequest);
   asio::awaitable<SendEnd> RunSends(RequestPointer aRequest,
                                     Decision aDecision);
@@ -176,6 +183,7 @@
   request->table = params.table->Load();
   auto refusal = RefuseAsServer(request->call);
   if (!refusal) {
+    co_await AwaitTable(request, now);
     refusal = Classify(*request, now);
   }
   if (!refusal) {
@@ -207,6 +215,21 @@
   }
 }
 
+/// Waits until this VM has a configuration, if it has none.
+asio::awaitable<void>
+Forwarder::Core::AwaitTable(RequestPointer aRequest, TimePoint aNow)
+{
+  const Duration callerTimeout =
+    aRequest->call.callerTimeout.value_or(kMaxWaitForTable);
+  const TimePoint until =
+    aNow + std::min<Duration>(callerTimeout, kMaxWaitForTable);
+  while (!aRequest->table && !stopEnd && Clock::now() < until) {
+    aRequest->timer.expires_after(kTablePollInterval);
+    co_await aRequest->timer.async_wait(kNoThrow);
+    aRequest->table = params.table->Load();
+  }
+}
+
 asio::awaitable<void>
 Forwarder::Core::Serve(RequestPointer aRequest)
 {
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -125,5 +125,61 @@
   EXPECT_EQ(mDispatcher.results.front(), policy::SendResult::kCancelled);
 }
 
+/// A VM that has started and has no configuration yet.
+class FirstConfiguration : public ForwarderTest
+{
+protected:
+  FirstConfiguration()
+  {
+    mLater = mTable.Load();
+    mTable.Store(nullptr);
+    asio::co_spawn(mLoop,
+                   mForwarder.Handle(mExchange),
+                   [&](const std::exception_ptr&) { mAnswered = true; });
+  }
+
+  void RunFor(Duration aTime)
+  {
+    mLoop.restart();
+    mLoop.run_for(aTime);
+  }
+
+  routing::TablePointer mLater;
+  Forwarder mForwarder{ Params() };
+  bool mAnswered = false;
+};
+
+// Guards against refusals of what arrives in the moment in which VMs start.
+TEST_F(FirstConfiguration, IsAwaitedByRequests)
+{
+  RunFor(Milliseconds(100));
+  EXPECT_FALSE(mAnswered);
+  EXPECT_FALSE(mDispatcher.pending);
+  mTable.Store(mLater);
+  RunFor(Milliseconds(100));
+  EXPECT_FALSE(mAnswered);
+  ASSERT_TRUE(mDispatcher.pending);
+  mDispatcher.pending(Decision());
+  RunFor(Milliseconds(100));
+  EXPECT_TRUE(mAnswered);
+}
+
+TEST_F(FirstConfiguration, IsAwaitedForAMomentOnly)
+{
+  RunFor(Milliseconds(100));
+  EXPECT_FALSE(mAnswered);
+  RunFor(Milliseconds(900));
+  EXPECT_TRUE(mAnswered);
+  EXPECT_FALSE(mDispatcher.pending);
+}
+
+TEST_F(FirstConfiguration, IsNotAwaitedByAVmThatStops)
+{
+  RunFor(Milliseconds(50));
+  mForwarder.BeginStop(Clock::now() + Seconds(5));
+  RunFor(Milliseconds(100));
+  EXPECT_TRUE(mAnswered);
+}
+
 } // namespace
 } // namespace magnoliatide::forward
