--- a/include/magnoliatide/wire/messages.h
+++ b/include/magnoliatide/wire/messages.h
@@ -295,10 +295,10 @@
   std::vector<std::string> excludedServers;
   std::string onlyServer; ///< The only one it may be sent to; empty: any.
   std::uint8_t serversReached = 0; ///< Number of servers it has reached.
-  bool failed = false;           ///< A server answered it with a server error.
-  bool retryAllowed = false;     ///< It may be retried if its server fails.
-  bool counted = false; ///< Another coordinator was asked for it before.
-  float units = 0;               ///< To charge to the team's quota.
+  bool failed = false;       ///< A server answered it with a server error.
+  bool retryAllowed = false; ///< It may be retried if its server fails.
+  bool counted = false;      ///< Another coordinator was asked for it before.
+  float units = 0;           ///< To charge to the team's quota.
   std::uint32_t delayMillis = 0; ///< Not to be sent earlier.
 };
 
