--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -497,6 +497,8 @@
 
     def start(self):
         d = self.deployment
+        if d.stopped:
+            return
         with open(os.path.join(ROOT, "deploy/vm.ini")) as f:
             text = f.read()
         fields = self.fields(d.seeds, d.store.address)
@@ -543,6 +545,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store()
         self.engines = []
+        self.stopped = False
         self.vms = [Vm(self, i + 1, zone) for i, zone in enumerate(zones)]
         self.seeds = ["%s:%d" % (vm.ip, vm.ports["control"]) for vm in self.vms[:3]]
 
@@ -566,6 +569,7 @@
             time.sleep(0.02)
 
     def stop(self):
+        self.stopped = True
         for vm in self.vms:
             if vm.process is not None and vm.process.poll() is None:
                 vm.process.kill()
@@ -588,8 +592,8 @@
         text = "broken: " + broken if broken else "the rule held"
         deployment.record.write(text)
         print(text)
-    except (CannotRun, OSError, subprocess.SubprocessError) as error:
-        print("cannot run:", error)
+    except (Exception, SystemExit) as error:  # pylint: disable=broad-except
+        print("cannot run: %s: %s" % (type(error).__name__, error))
         result = 2
     finally:
         if deployment is not None:
