--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -199,6 +199,13 @@
         pass
 
 
+def local_address(sock):
+    try:
+        return sock.getsockname()
+    except OSError:
+        return None
+
+
 class Store:
     """The platform's store: read by nodes, written by the script."""
 
@@ -210,7 +217,22 @@
         self._changed = threading.Condition()
         self._sockets = set()
         self._down = False
-        serve(self.address, self._handle)
+        self._listeners = {self.address: serve(self.address, self._handle)}
+
+    def add_address(self, host):
+        """Serves the store at a further address, which settings name from now on."""
+        self.address = (host, free_port(host))
+        self._listeners[self.address] = serve(self.address, self._handle)
+
+    def close_address(self, address):
+        """Ends the service at an address, with the connections there."""
+        listener = self._listeners.pop(address)
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+        with self._changed:
+            sockets = [s for s in self._sockets if local_address(s) == address]
+        for sock in sockets:
+            reset(sock)
 
     def set_down(self, down):
         """Begins an outage, in which all connections are reset, or ends it."""
@@ -499,6 +521,16 @@
         d = self.deployment
         if d.stopped:
             return
+        path = self.write_settings()
+        self.log = open(os.path.join(d.folder, self.name + ".log"), "ab")
+        environment = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
+        environment["MAGNOLIATIDE_CONFIG"] = path
+        self.process = subprocess.Popen([PROGRAM, "serve"], cwd=ROOT, env=environment,
+                                        stdin=subprocess.DEVNULL, stdout=self.log,
+                                        stderr=self.log)
+
+    def write_settings(self):
+        d = self.deployment
         with open(os.path.join(ROOT, "deploy/vm.ini")) as f:
             text = f.read()
         fields = self.fields(d.seeds, d.store.address)
@@ -506,12 +538,7 @@
         path = os.path.join(d.folder, self.name + ".conf")
         with open(path, "w") as f:
             f.write(text)
-        self.log = open(os.path.join(d.folder, self.name + ".log"), "ab")
-        environment = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
-        environment["MAGNOLIATIDE_CONFIG"] = path
-        self.process = subprocess.Popen([PROGRAM, "serve"], cwd=ROOT, env=environment,
-                                        stdin=subprocess.DEVNULL, stdout=self.log,
-                                        stderr=self.log)
+        return path
 
     def ready(self):
         try:
