--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,14 +16,14 @@
 
 class Orders(d.Engine):
     def run(self, sock, request):
-        time.sleep(0.03)
+        time.sleep(0.06)
         return super().run(sock, request)
 
 
 def case(deployment, trouble):
     record, store = deployment.record, deployment.store
     engines = [deployment.add_engine(Orders, "i-%d" % i, "orders-app", slots=6)
-               for i in range(1, 4)]
+               for i in range(1, 9)]
     store.put("op/config", d.configuration(
         7, [d.route("deposit-post", "/deposit/", "non_idempotent", "orders-app")],
         [d.tenant("planners", ["key-1"])]))
@@ -36,9 +36,9 @@
     def client(number):
         while not end.is_set():
             caller.call(deployment.vms[number % 3], "/deposit/%d" % number, "key-1")
-            time.sleep(0.04)
+            time.sleep(0.03)
 
-    clients = [threading.Thread(target=client, args=(i,)) for i in range(12)]
+    clients = [threading.Thread(target=client, args=(i,)) for i in range(40)]
     for thread in clients:
         thread.start()
     time.sleep(2)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,7 +8,10 @@
 import deployment as d
 
 EVENTS = 12
-SHARE = 20  # One of so many answers is broken off: x = 0.05.
+# garble: x of the answers of a share of the engines are broken off, for some time.
+X = 0.02
+ENGINES = 2  # Of five: share = 0.4.
+GARBLE_SECONDS = 5
 
 
 def event(number):
@@ -18,14 +21,14 @@
 class Model(d.Engine):
     """Streams events in chunks, from Last-Event-Id on if there is one."""
 
-    trouble = True
+    garbles = False
 
     def run(self, sock, request):
         with self.lock:
             count = len(self.runs)
         name = request.get("Attempt-Id")
         resumed = request.get("Last-Event-Id")
-        broken = self.trouble and count % SHARE == 0 and not resumed
+        broken = self.garbles and count % round(1 / X) == 0 and not resumed
         head = "HTTP/1.1 200 OK\r\n"
         for header in [("Attempt-Id", name), ("Engine-Signature", self.signature(request)),
                        ("Content-Type", "text/event-stream"),
@@ -47,9 +50,8 @@
 
 def case(deployment, trouble):
     record = deployment.record
-    Model.trouble = trouble
-    for i in range(1, 5):
-        deployment.add_engine(Model, "i-%d" % i, "lm-pool", zone=deployment.vms[i % 3].zone)
+    engines = [deployment.add_engine(Model, "i-%d" % i, "lm-pool",
+                                     zone=deployment.vms[i % 3].zone) for i in range(1, 6)]
     deployment.store.put("op/config", d.configuration(7, [
         d.route("quote-draft", "/quote/", "stream", "lm-pool", 10000, 2, resumable=True),
     ], [d.tenant("planners", ["key-1"])]))
@@ -64,10 +66,20 @@
                         deadline_ms=10000, more=[("Model", "m"), ("Token-Usage", "1460,80")])
             time.sleep(0.05)
 
-    clients = [threading.Thread(target=client, args=(i,)) for i in range(6)]
+    clients = [threading.Thread(target=client, args=(i,)) for i in range(18)]
     for thread in clients:
         thread.start()
-    time.sleep(10)
+    time.sleep(2)
+    faulty = sorted(engines, key=lambda engine: len(engine.runs))[-ENGINES:]
+
+    def garble(on):
+        for engine in faulty:
+            engine.garbles = trouble and on
+
+    garble(True)
+    time.sleep(GARBLE_SECONDS)
+    garble(False)
+    time.sleep(2)
     end.set()
     for thread in clients:
         thread.join()
