Take no answer as whole whose connection was reset during the upload

Callers with long bodies could get status 200 with a part of the answer: the server answers early without a length and resets the connection while the request is still being written. The write consumes the reset, so the next read sees a plain end of the connection. The connection now remembers the failed write, and the end of the connection then ends no answer without a length.

Ruled out: answers with a length or in chunks, and a reset that the read sees first, were reported as cut before.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -159,6 +159,7 @@
     mResponseComplete = false;
     mParser.reset();
     mParseError = {};
+    mWriteFailed = false;
     mIsHeadRequest = aRequest.method == "HEAD";
     mOutgoing = Serialize(aRequest, mPeer);
     static_cast<void>(aTimeout);
@@ -218,8 +219,8 @@
       if (mParser->is_done()) {
         const bool framed = !mParser->need_eof();
         mResponseComplete = framed && !mWriting;
-        co_return framed || mOptions.allowCloseDelimited ? CallStatus::kDone
-                                                         : CallStatus::kCut;
+        const bool ended = framed || EndedProperly();
+        co_return ended ? CallStatus::kDone : CallStatus::kCut;
       }
       if (mParseError) {
         co_return HandleError(mParseError);
@@ -404,9 +405,19 @@
         // After an error mWriting stays true, which prevents the reuse of the
         // connection. The read returns how the call ended.
         self->mWriting = static_cast<bool>(aError);
+        self->mWriteFailed = self->mWriting;
       });
   }
 
+  /// Returns whether the end of the connection is the end of an answer without
+  /// a length. The operating system reports a reset once. If the write of the
+  /// request has got that error, the next read sees the end of the connection
+  /// although the answer was broken off.
+  bool EndedProperly() const
+  {
+    return mOptions.allowCloseDelimited && !mWriteFailed;
+  }
+
   /// Closes the connection and returns the status for an error.
   CallStatus HandleError(const ErrorCode& aError)
   {
@@ -435,6 +446,7 @@
   bool mClosedLocally = false;
   bool mConnectTimedOut = false; ///< The last Connect() timed out.
   bool mWriting = false;         ///< The request is not completely written.
+  bool mWriteFailed = false;     ///< The rest of it could not be written.
   /// Whether the request is a HEAD request, whose response has no body even if
   /// its headers give a length.
   bool mIsHeadRequest = false;
