Order what the store says by its era

When the store comes back from an older copy, revisions go back and are given out again. VMs ignored everything that was written until the counter had passed the old one, kept what the store had lost, and could send requests to servers that had left. A revision now contains the era that the store names; a later era begins with a complete list, and configurations, notices of leaving and evacuations do not go back with it.

The log and audit of the replica's changes move to a class of their own.

--- a/include/magnoliatide/fleet/directory.h
+++ b/include/magnoliatide/fleet/directory.h
@@ -31,6 +31,10 @@
 
 struct DirectoryOptions
 {
+  /// How long an evacuation stays in force that is missing after the store came
+  /// back from an older copy. Its operator writes it again within seconds.
+  Duration evacuationHold = Seconds(10);
+
   /// How long removals are deferred after the store becomes reachable again.
   /// Live servers write their entries again within this time.
   Duration returnGrace = Milliseconds(2000);
@@ -55,6 +59,8 @@
   bool MergeServer(const ServerEntry& aEntry, TimePoint aNow);
 
   /// Sets whether a zone is evacuated. Its servers get no new requests then.
+  /// If the store has entered a later era, an evacuation that is missing stays
+  /// for a time, and one that was taken back does not return.
   ///
   /// @param aRevision Store revision of this change. An earlier one than the
   ///     last of the zone is ignored.
@@ -86,7 +92,7 @@
   /// if it was never unreachable.
   TimePoint StoreReachableSince() const { return mStoreReachableSince; }
 
-  /// Applies deferred removals that are due.
+  /// Applies deferred removals that are due, of servers and of evacuations.
   ///
   /// @return Whether any was due.
   bool Tick(TimePoint aNow);
@@ -101,6 +107,7 @@
     ServerEntry entry;
     /// Start time of the latest known incarnation; outlives its entry.
     std::uint64_t started = 0;
+    std::uint64_t report = 0;     ///< The latest known one of that incarnation.
     bool seenLeaving = false;     ///< This incarnation was seen to leave.
     bool removalDeferred = false; ///< Removed, but still in the roster.
     routing::Server lastKnown;    ///< Valid if removalDeferred is set.
@@ -110,10 +117,15 @@
   struct ZoneState
   {
     bool evacuated = false;
-    Evacuation evacuation; ///< Its revision is that of the last change.
+    Evacuation evacuation;       ///< Its revision is that of the last change.
+    std::uint64_t requested = 0; ///< Revision of the last request.
+    /// The request is missing in a later era; it ends then. Zero: not missing.
+    TimePoint heldUntil{};
   };
 
   bool IsEvacuated(const std::string& aZone) const;
+  void RecordEra(std::uint64_t aRevision, TimePoint aNow);
+  static bool IsOlderReport(const State& aState, const ServerEntry& aEntry);
   bool ApplyEntry(State& aState, const ServerEntry& aEntry, TimePoint aNow);
   bool DefersRemovals(TimePoint aNow) const;
 
@@ -122,6 +134,8 @@
   routing::TablePointer mTable;
   std::map<std::string, State> mServers;
   std::map<std::string, ZoneState> mZones; ///< Those that were ever evacuated.
+  std::uint64_t mEra = 0;  ///< The highest era of the store that is known.
+  TimePoint mEraBeganAt{}; ///< When it became known; zero in the first one.
   bool mStoreReachable = true;
   TimePoint mStoreReachableSince{};       ///< Zero: it was never unreachable.
   mutable routing::RosterPointer mRoster; ///< Null: must be rebuilt.
--- a/include/magnoliatide/forward/forwarder.h
+++ b/include/magnoliatide/forward/forwarder.h
@@ -43,7 +43,7 @@
   /// of the selected one.
   std::function<void(const ServerNotice&)> onLeaving;
   /// Returns the revision of the server list, for the log.
-  std::function<std::uint64_t()> serversRevision;
+  std::function<std::string()> serversRevision;
   /// Returns whether a server still accepts new requests.
   std::function<bool(const routing::Server&)> usable;
   /// Returns whether the entry of a server gives this VM's own address.
--- a/src/fleet/directory.cpp
+++ b/src/fleet/directory.cpp
@@ -1,6 +1,10 @@
 // Merging of configuration and server updates.
 #include "magnoliatide/fleet/directory.h"
 
+#include "magnoliatide/core/store_revision.h"
+
+#include <algorithm>
+
 namespace magnoliatide::fleet {
 
 namespace {
@@ -28,6 +32,7 @@
 bool
 Directory::MergeServer(const ServerEntry& aEntry, TimePoint aNow)
 {
+  RecordEra(aEntry.revision, aNow);
   auto& state = mServers[aEntry.id];
   if (aEntry.revision <= state.entry.revision && state.entry.revision != 0) {
     return false;
@@ -44,6 +49,31 @@
   return changed;
 }
 
+/// Records that the store is in an era. In a later one than before, servers and
+/// operators first write again what the store has lost.
+void
+Directory::RecordEra(std::uint64_t aRevision, TimePoint aNow)
+{
+  const auto era = EraOf(aRevision);
+  if (era <= mEra) {
+    return;
+  }
+  const bool first = mServers.empty() && mZones.empty();
+  mEra = era;
+  mEraBeganAt = first ? TimePoint{} : aNow;
+}
+
+/// Returns whether an entry of a later era is a copy of a report of a server
+/// that was known to be gone.
+bool
+Directory::IsOlderReport(const State& aState, const ServerEntry& aEntry)
+{
+  const bool laterEra = EraOf(aEntry.revision) > EraOf(aState.entry.revision);
+  return laterEra && !aState.entry.server && aState.started > 0 &&
+         aEntry.server->started == aState.started &&
+         aEntry.server->report <= aState.report;
+}
+
 bool
 Directory::ApplyEntry(State& aState, const ServerEntry& aEntry, TimePoint aNow)
 {
@@ -57,13 +87,15 @@
     return before.has_value();
   }
   const auto& server = *aEntry.server;
-  const bool stale =
-    server.started < aState.started || (before && !server.Supersedes(*before));
+  const bool stale = server.started < aState.started ||
+                     (before && !server.Supersedes(*before)) ||
+                     IsOlderReport(aState, aEntry);
   if (stale) {
     // An earlier server report that reached the store late.
     aState.entry.revision = aEntry.revision;
     return false;
   }
+  aState.report = server.report;
   if (server.started > aState.started) {
     aState.seenLeaving = false;
   }
@@ -79,6 +111,7 @@
                         std::uint64_t aRevision,
                         TimePoint aNow)
 {
+  RecordEra(aRevision, aNow);
   if (!aEvacuated && mZones.count(aZone) == 0) {
     return false;
   }
@@ -86,7 +119,22 @@
   if (aRevision <= state.evacuation.revision) {
     return false;
   }
+  const bool laterEra = EraOf(aRevision) > EraOf(state.evacuation.revision) &&
+                        state.evacuation.revision > 0;
   state.evacuation.revision = aRevision;
+  if (aEvacuated) {
+    const bool copied =
+      laterEra && CounterOf(aRevision) == CounterOf(state.requested);
+    if (copied && !state.evacuated) {
+      // Taken back since; the operator removes the request again.
+      return false;
+    }
+    state.requested = aRevision;
+    state.heldUntil = TimePoint{};
+  } else if (laterEra && state.evacuated) {
+    state.heldUntil = aNow + mOptions.evacuationHold;
+    return false;
+  }
   if (state.evacuated == aEvacuated) {
     return false;
   }
@@ -150,7 +198,9 @@
 bool
 Directory::DefersRemovals(TimePoint aNow) const
 {
-  if (!mStoreReachable) {
+  const bool newEra =
+    mEraBeganAt != TimePoint{} && aNow - mEraBeganAt < mOptions.returnGrace;
+  if (!mStoreReachable || newEra) {
     return true;
   }
   return mStoreReachableSince != TimePoint{} &&
@@ -160,10 +210,20 @@
 bool
 Directory::Tick(TimePoint aNow)
 {
+  bool changed = false;
+  for (auto& [zone, state] : mZones) {
+    if (state.heldUntil != TimePoint{} && aNow >= state.heldUntil) {
+      state.heldUntil = TimePoint{};
+      state.evacuated = false;
+      changed = true;
+    }
+  }
   if (DefersRemovals(aNow)) {
-    return false;
+    if (changed) {
+      mRoster.reset();
+    }
+    return changed;
   }
-  bool changed = false;
   for (auto& [id, state] : mServers) {
     changed |= state.removalDeferred;
     state.removalDeferred = false;
--- a/src/fleet/directory_test.cpp
+++ b/src/fleet/directory_test.cpp
@@ -1,5 +1,6 @@
 // The view of the configuration and the servers, for every order in which
 // updates may arrive.
+#include "magnoliatide/core/store_revision.h"
 #include "magnoliatide/fleet/directory.h"
 
 #include <gtest/gtest.h>
@@ -218,5 +219,72 @@
   EXPECT_FALSE(directory.Roster()->at("a").AcceptsRequests());
 }
 
+// Guards against a server that has left and gets requests again because an
+// older copy of the store still has its entry.
+TEST(Directory, AnEntryOfACopyDoesNotBringBackAServerThatLeft)
+{
+  Directory directory;
+  const auto at = [](std::uint64_t aEra, std::uint64_t aCounter) {
+    return StoreRevision(aEra, aCounter);
+  };
+  directory.MergeServer({ "a", Server("a", 1, 4), at(1, 10) }, kStart);
+  directory.MergeServer({ "a", std::nullopt, at(1, 20) }, kStart);
+  EXPECT_FALSE(
+    directory.MergeServer({ "a", Server("a", 1, 4), at(2, 10) }, kStart));
+  EXPECT_TRUE(directory.Roster()->empty());
+  // The server lives: it reports again.
+  EXPECT_TRUE(
+    directory.MergeServer({ "a", Server("a", 1, 5), at(2, 12) }, kStart));
+  EXPECT_EQ(directory.Roster()->size(), 1U);
+}
+
+// Guards against the loss of all servers that have registered since the copy.
+TEST(Directory, AServerThatACopyLacksIsKeptForTheGraceTime)
+{
+  Directory directory;
+  directory.MergeServer({ "a", Server("a", 1, 4), StoreRevision(1, 10) },
+                        kStart);
+  const auto restored = kStart + Seconds(5);
+  directory.MergeServer({ "a", std::nullopt, StoreRevision(2, 8) }, restored);
+  directory.Tick(restored + Milliseconds(1500));
+  EXPECT_EQ(directory.Roster()->size(), 1U);
+  directory.Tick(restored + Milliseconds(2100));
+  EXPECT_TRUE(directory.Roster()->empty());
+}
+
+// Guards against an evacuation that ends because a copy lacks it, and against
+// one that returns with a copy.
+TEST(Directory, EvacuationsOutliveAStoreThatGoesBack)
+{
+  Directory directory;
+  directory.SetEvacuated("x", true, StoreRevision(1, 10), kStart);
+  EXPECT_FALSE(directory.SetEvacuated("x", false, StoreRevision(2, 8), kStart));
+  directory.Tick(kStart + Seconds(9));
+  EXPECT_EQ(directory.Evacuations().count("x"), 1U);
+  // Written again, then removed in the same era.
+  directory.SetEvacuated("x", true, StoreRevision(2, 9), kStart + Seconds(9));
+  directory.Tick(kStart + Seconds(30));
+  EXPECT_EQ(directory.Evacuations().count("x"), 1U);
+  EXPECT_TRUE(directory.SetEvacuated(
+    "x", false, StoreRevision(2, 15), kStart + Seconds(31)));
+  // The copy is older than the removal.
+  EXPECT_FALSE(directory.SetEvacuated(
+    "x", true, StoreRevision(3, 9), kStart + Seconds(40)));
+  EXPECT_TRUE(directory.Evacuations().empty());
+  // Another request is a new one.
+  EXPECT_TRUE(directory.SetEvacuated(
+    "x", true, StoreRevision(3, 11), kStart + Seconds(41)));
+}
+
+// Guards against an evacuation that a copy lacks and nobody writes again.
+TEST(Directory, AnEvacuationThatIsNotWrittenAgainEnds)
+{
+  Directory directory;
+  directory.SetEvacuated("x", true, StoreRevision(1, 10), kStart);
+  directory.SetEvacuated("x", false, StoreRevision(2, 8), kStart);
+  EXPECT_TRUE(directory.Tick(kStart + Seconds(11)));
+  EXPECT_TRUE(directory.Evacuations().empty());
+}
+
 } // namespace
 } // namespace magnoliatide::fleet
--- a/src/fleet/store_replica_test.cpp
+++ b/src/fleet/store_replica_test.cpp
@@ -1,5 +1,6 @@
 // Replication of the platform's store with lost, repeated and reordered
 // messages, and the election of the VMs that read it.
+#include "magnoliatide/core/store_revision.h"
 #include "magnoliatide/fleet/ranking.h"
 #include "magnoliatide/fleet/reader_election.h"
 #include "magnoliatide/fleet/store_replica.h"
@@ -49,6 +50,21 @@
     return items;
   }
 
+  /// Comes back from a copy: the changes after a revision of this era are gone.
+  /// Returns nothing if the copy would be older than the era.
+  void Restore(std::uint64_t aCounter)
+  {
+    const auto era = EraOf(mRevision);
+    std::erase_if(mChanges, [&](const auto& aChange) {
+      return CounterOf(aChange.revision) > aCounter;
+    });
+    for (auto& change : mChanges) {
+      change.revision = StoreRevision(era + 1, CounterOf(change.revision));
+    }
+    mRevision =
+      StoreRevision(era + 1, std::min(aCounter, CounterOf(mRevision)));
+  }
+
   std::uint64_t Revision() const { return mRevision; }
 
 private:
@@ -107,6 +123,68 @@
   PartialReply reply;
 };
 
+/// A VM that reports a revision of the store's present era has what the store
+/// has, whichever messages of earlier eras arrive late and whichever VM it
+/// fetches from.
+RC_GTEST_PROP(StoreReplica, NeverKeepsWhatARestoredStoreHasLost, ())
+{
+  constexpr int kVms = 4;
+  constexpr int kKeys = 4;
+  constexpr int kSteps = 250;
+  Store store;
+  std::vector<Vm> vms(kVms);
+  std::vector<wire::ReplicaUpdate> inTransit;
+  std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+  const auto below = [&](std::size_t aBound) { return random() % aBound; };
+  constexpr int kWrite = 6;
+  constexpr int kRead = kWrite + 5;
+  constexpr int kDeliver = kRead + 8;
+  constexpr int kFetch = kDeliver + 4;
+  for (int i = 0; i < kSteps; ++i) {
+    auto& vm = vms[below(kVms)];
+    const auto step = static_cast<int>(below(kFetch + 1));
+    if (step < kWrite) {
+      store.Write("key-" + std::to_string(below(kKeys)), below(4) == 0);
+    } else if (step < kRead) {
+      const auto before = vm.replica.Revision();
+      if (EraOf(before) == EraOf(store.Revision()) && before > 0) {
+        vm.RecordChanges(
+          vm.replica.Apply(store.Between(before, store.Revision())));
+      } else { // A list, which has no removed items.
+        auto items = store.Between(0, store.Revision());
+        std::erase_if(items, [](const auto& aItem) { return aItem.removed; });
+        vm.RecordChanges(vm.replica.ApplySnapshot(items, store.Revision()));
+      }
+      vm.replica.RecordRevision(store.Revision());
+      const auto sent = vm.replica.ChangesAfter(before);
+      if (!sent.isSnapshot) {
+        inTransit.push_back(sent);
+      }
+    } else if (step < kDeliver) {
+      if (!inTransit.empty()) {
+        vm.Apply(inTransit[below(inTransit.size())]);
+      }
+    } else if (step < kFetch) {
+      vm.FetchPage(vms, below(kVms), 1 + below(40));
+    } else {
+      store.Restore(CounterOf(store.Revision()) - below(3) * (i > 20 ? 1 : 0));
+    }
+    for (const auto& checked : vms) {
+      if (checked.replica.Revision() != store.Revision()) {
+        continue;
+      }
+      std::set<std::string> expected;
+      for (const auto& item : store.Between(0, store.Revision())) {
+        if (!item.removed) {
+          expected.insert(item.key);
+          RC_ASSERT(checked.revisions.at(item.key) >= item.revision);
+        }
+      }
+      RC_ASSERT(checked.present == expected);
+    }
+  }
+}
+
 /// A VM that reports a revision has every change up to it, whichever messages
 /// were lost.
 RC_GTEST_PROP(StoreReplica, NeverReportsARevisionWithAGap, ())
--- a/src/forward/forwarder_test.cpp
+++ b/src/forward/forwarder_test.cpp
@@ -93,7 +93,7 @@
     params.dialect = &mDialect;
     params.metrics = &mMetrics;
     params.onLeaving = [](const ServerNotice&) {};
-    params.serversRevision = [] { return 1; };
+    params.serversRevision = [] { return std::string("1"); };
     params.usable = [](const routing::Server&) { return true; };
     return params;
   }
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -10,6 +10,7 @@
 #include "replica_service.h"
 
 #include "magnoliatide/core/digest.h"
+#include "magnoliatide/core/store_revision.h"
 #include "magnoliatide/fleet/crash_rumours.h"
 #include "magnoliatide/fleet/ranking.h"
 #include "magnoliatide/forward/forwarder.h"
@@ -137,7 +138,9 @@
     params.onLeaving = [this](const forward::ServerNotice& aNotice) {
       RecordLeaving(aNotice);
     };
-    params.serversRevision = [this] { return mReplicaService.Revision(); };
+    params.serversRevision = [this] {
+      return FormatRevision(mReplicaService.Revision());
+    };
     params.isOwnAddress = [this](const std::string& aServer) {
       const auto roster = mReplicaService.Roster();
       const auto found = roster->find(aServer);
--- a/src/node/replica_service.cpp
+++ b/src/node/replica_service.cpp
@@ -4,6 +4,7 @@
 #include "control_task.h"
 
 #include "magnoliatide/core/digest.h"
+#include "magnoliatide/core/store_revision.h"
 #include "magnoliatide/routing/change.h"
 #include "magnoliatide/telemetry/log.h"
 #include "magnoliatide/wire/codec.h"
@@ -73,6 +74,7 @@
   , mFollower(MakeFollowerParams())
   , mStarted(Clock::now())
   , mFirstReadDelay(FirstReadDelay(mParams.isSeed))
+  , mLog(*mParams.metrics, *mParams.audit)
 {
 }
 
@@ -123,7 +125,7 @@
     SendAnnouncement(aNow);
   }
   if (mDirectory.Tick(aNow)) {
-    LogServerChanges("deferred removals");
+    mLog.RecordChanges(mDirectory, mReplica.Revision(), "deferred removals");
     mParams.onServers();
   }
 }
@@ -158,6 +160,7 @@
 ReplicaService::ApplyNewItems(const std::vector<wire::ReplicaItem>& aNewItems,
                               const std::string& aFrom)
 {
+  mLog.RecordEra(mReplica.Revision(), aFrom);
   bool servers = false;
   for (const auto& item : aNewItems) {
     if (item.key == platform::kConfigurationKey) {
@@ -165,11 +168,11 @@
     } else if (item.key.starts_with(platform::kServerPrefix)) {
       servers |= ApplyServer(item);
     } else if (item.key.starts_with(platform::kEvacuationPrefix)) {
-      servers |= ApplyEvacuation(item, aFrom);
+      servers |= ApplyEvacuation(item);
     }
   }
   if (servers) {
-    LogServerChanges(aFrom);
+    mLog.RecordChanges(mDirectory, mReplica.Revision(), aFrom);
     mParams.onServers();
   }
   PublishTable();
@@ -177,22 +180,13 @@
 
 /// Applies a change of an operator's request to evacuate a zone.
 bool
-ReplicaService::ApplyEvacuation(const wire::ReplicaItem& aItem,
-                                const std::string& aFrom)
+ReplicaService::ApplyEvacuation(const wire::ReplicaItem& aItem)
 {
-  const auto zone = aItem.key.substr(platform::kEvacuationPrefix.size());
-  const bool evacuated = !aItem.removed;
-  if (!mDirectory.SetEvacuated(zone, evacuated, aItem.revision, Clock::now())) {
-    return false;
-  }
-  mParams.audit->Add("zone " + zone,
-                     evacuated ? "in use" : "evacuated",
-                     evacuated ? "evacuated" : "in use",
-                     "revision " + std::to_string(aItem.revision) + " from " +
-                       aFrom);
-  mParams.metrics->Set(
-    "zone_evacuated", { { "zone", zone } }, evacuated ? 1 : 0);
-  return true;
+  return mDirectory.SetEvacuated(
+    aItem.key.substr(platform::kEvacuationPrefix.size()),
+    !aItem.removed,
+    aItem.revision,
+    Clock::now());
 }
 
 /// Publishes a changed configuration once the replica is complete. Requests
@@ -224,7 +218,7 @@
     if (!entry.server) {
       telemetry::LogWarning("entry-skipped",
                             { { "key", aItem.key },
-                              { "revision", aItem.revision },
+                              { "revision", FormatRevision(aItem.revision) },
                               { "problem", problem } });
       return false;
     }
@@ -241,9 +235,9 @@
   }
   const auto decoded = platform::DecodeTable(aItem.value);
   for (const auto& problem : decoded.problems) {
-    telemetry::LogError(
-      "configuration-problem",
-      { { "revision", aItem.revision }, { "problem", problem } });
+    telemetry::LogError("configuration-problem",
+                        { { "revision", FormatRevision(aItem.revision) },
+                          { "problem", problem } });
   }
   const auto before = mDirectory.Table();
   if (!mDirectory.MergeTable(decoded.table)) {
@@ -253,12 +247,12 @@
   mParams.audit->Add("configuration",
                      before ? std::to_string(before->version) : "",
                      std::to_string(decoded.table->version),
-                     "revision " + std::to_string(aItem.revision) + " from " +
+                     "revision " + FormatRevision(aItem.revision) + " from " +
                        aFrom);
   telemetry::LogInfo(
     "configuration",
     { { "version", decoded.table->version },
-      { "revision", aItem.revision },
+      { "revision", FormatRevision(aItem.revision) },
       { "from", aFrom },
       { "changes", routing::DescribeChange(before, *decoded.table) } });
 }
@@ -415,36 +409,4 @@
   return page;
 }
 
-/// Logs the servers that were added (+), started to leave (!) or were removed
-/// (-) since the last call, and drops the metrics of removed servers.
-void
-ReplicaService::LogServerChanges(const std::string& aFrom)
-{
-  const auto roster = mDirectory.Roster();
-  const auto before = std::exchange(mLoggedRoster, roster);
-  std::string changes;
-  const auto add = [&](const char* aPrefix, const std::string& aId) {
-    changes += (changes.empty() ? "" : " ") + std::string(aPrefix) + aId;
-  };
-  for (const auto& [id, server] : *roster) {
-    const auto previous = before->find(id);
-    if (previous == before->end()) {
-      add("+", id);
-    } else if (server.leaving && !previous->second.leaving) {
-      add("!", id);
-    }
-  }
-  for (const auto& [id, server] : *before) {
-    if (roster->count(id) == 0) {
-      add("-", id);
-      mParams.metrics->RemoveSeries({ "server", id });
-    }
-  }
-  telemetry::LogInfo("servers",
-                     { { "revision", mReplica.Revision() },
-                       { "from", aFrom },
-                       { "count", roster->size() },
-                       { "changes", changes } });
-}
-
 } // namespace magnoliatide::node
--- a/src/node/replica_service.h
+++ b/src/node/replica_service.h
@@ -5,6 +5,7 @@
 #define MAGNOLIATIDE_SRC_NODE_REPLICA_SERVICE_H
 
 #include "peer_link.h"
+#include "replica_log.h"
 #include "store_follower.h"
 
 #include "magnoliatide/core/rcu_cell.h"
@@ -92,8 +93,7 @@
   void ApplyNewItems(const std::vector<wire::ReplicaItem>& aNewItems,
                      const std::string& aFrom);
   bool ApplyServer(const wire::ReplicaItem& aItem);
-  bool ApplyEvacuation(const wire::ReplicaItem& aItem,
-                       const std::string& aFrom);
+  bool ApplyEvacuation(const wire::ReplicaItem& aItem);
   void PublishTable();
   void ApplyConfiguration(const wire::ReplicaItem& aItem,
                           const std::string& aFrom);
@@ -103,7 +103,6 @@
   void FetchMissing();
   boost::asio::awaitable<void> Fetch(std::string aAddress);
   boost::asio::awaitable<void> FetchFrom(std::string aAddress);
-  void LogServerChanges(const std::string& aFrom);
   void SendAnnouncement(TimePoint aNow);
 
   ReplicaServiceParams mParams;
@@ -122,8 +121,7 @@
   /// The configuration has changed and is not published yet.
   bool mTableChanged = false;
   std::uint64_t mMaxPeerRevision = 0; ///< The highest that a VM reported.
-  /// The list of servers when its changes were logged last.
-  routing::RosterPointer mLoggedRoster = std::make_shared<routing::Roster>();
+  ReplicaLog mLog;
 };
 
 } // namespace magnoliatide::node
--- a/src/node/store_follower.cpp
+++ b/src/node/store_follower.cpp
@@ -4,6 +4,7 @@
 #include "control_task.h"
 
 #include "magnoliatide/core/digest.h"
+#include "magnoliatide/core/store_revision.h"
 #include "magnoliatide/telemetry/log.h"
 
 #include <boost/asio.hpp>
@@ -74,6 +75,17 @@
   mWatcher.Interrupt();
 }
 
+/// Returns whether a reply comes from an earlier era than one that is known. It
+/// was on its way when the store came back from a copy, or another instance of
+/// the store answers.
+bool
+StoreFollower::IsOutdated(const platform::StoreReply& aReply) const
+{
+  const bool answered = aReply.status == platform::StoreStatus::kDone ||
+                        aReply.status == platform::StoreStatus::kForgotten;
+  return answered && aReply.era < EraOf(mParams.knownRevision());
+}
+
 std::uint64_t
 StoreFollower::Calls() const
 {
@@ -153,7 +165,8 @@
     if (mInterrupted) {
       co_return true;
     }
-    if (reply.status == platform::StoreStatus::kDone && reply.revision == 0) {
+    const bool isDone = reply.status == platform::StoreStatus::kDone;
+    if ((isDone && CounterOf(reply.revision) == 0) || IsOutdated(reply)) {
       // The store's revision counter starts above 0.
       reply.status = platform::StoreStatus::kUnreadable;
     }
@@ -164,6 +177,10 @@
     UpdateHealth(reply.status);
     if (mList.revision == 0) {
       mList.revision = reply.revision;
+    } else if (reply.era != EraOf(mList.revision)) {
+      // The store came back from a copy between two pages.
+      mList = {};
+      co_return true;
     }
     LogSkipped(reply);
     for (auto& item : reply.items) {
@@ -199,6 +216,9 @@
   if (mInterrupted) {
     co_return true;
   }
+  if (IsOutdated(reply)) {
+    reply.status = platform::StoreStatus::kUnreadable;
+  }
   if (reply.status == platform::StoreStatus::kForgotten) {
     UpdateHealth(reply.status);
     mHistoryLost = true;
@@ -250,6 +270,8 @@
     }
     const bool behind =
       mParams.knownRevision() == known && reply.revision > known;
+    // A watch from a revision that the store does not have may wait on.
+    mHistoryLost |= reply.era > EraOf(known);
     if (behind || !wasAnswering) {
       Interrupt();
     } else {
@@ -294,7 +316,7 @@
   telemetry::LogInfo("store-call-failed",
                      { { "call", aCall },
                        { "status", platform::Name(aStatus) },
-                       { "known", mParams.knownRevision() },
+                       { "known", FormatRevision(mParams.knownRevision()) },
                        { "store", mAnswers ? "answering" : "away" } });
 }
 
--- a/src/node/store_follower.h
+++ b/src/node/store_follower.h
@@ -88,6 +88,7 @@
   boost::asio::awaitable<void> BackOff();
   boost::asio::awaitable<void> AwaitActive(boost::asio::steady_timer& aWake);
   void Interrupt();
+  bool IsOutdated(const platform::StoreReply& aReply) const;
   void LogSkipped(const platform::StoreReply& aReply);
   void LogFailed(const char* aCall, platform::StoreStatus aStatus) const;
   void UpdateHealth(platform::StoreStatus aStatus);
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -100,6 +100,24 @@
   mCompactedRevision = mRevision;
 }
 
+void
+Store::SaveCopy()
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  mCopy = { mItems, mRevision };
+}
+
+void
+Store::RestoreCopy()
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  mItems = mCopy.items;
+  mRevision = mCopy.revision;
+  mCompactedRevision = std::min(mCompactedRevision, mRevision);
+  mEra += 1;
+  mCuts += 1;
+}
+
 void
 Store::SetPageSize(std::size_t aItems)
 {
@@ -204,12 +222,12 @@
   const auto key = PercentDecode(http::QueryParameter(aRequest, "key"));
   const auto found = mItems.find(key);
   if (found == mItems.end() || !found->second.value) {
-    return http::JsonResponse(404, "{}");
+    return WithEra(http::JsonResponse(404, "{}"));
   }
   auto body = ItemText(key, found->second);
   body.back() = ',';
   body += "\"store-revision\":" + std::to_string(mRevision) + "}";
-  return http::JsonResponse(200, body);
+  return WithEra(http::JsonResponse(200, body));
 }
 
 http::Response
@@ -231,16 +249,16 @@
     }
     items.push_back(ItemText(key, item));
   }
-  return http::JsonResponse(200,
-                            PageText("items", items, truncated, mRevision));
+  return WithEra(
+    http::JsonResponse(200, PageText("items", items, truncated, mRevision)));
 }
 
 std::optional<http::Response>
 Store::EventsResponse(const std::string& aPrefix, std::uint64_t aAfter) const
 {
   std::lock_guard<std::mutex> lock(mMutex);
-  if (aAfter < mCompactedRevision) {
-    return http::JsonResponse(410, "{}");
+  if (aAfter < mCompactedRevision || aAfter > mRevision) {
+    return WithEra(http::JsonResponse(410, "{}"));
   }
   std::vector<std::string> events;
   for (const auto& [key, item] : mItems) {
@@ -251,7 +269,25 @@
   if (events.empty()) {
     return std::nullopt;
   }
-  return http::JsonResponse(200, PageText("events", events, false, mRevision));
+  return WithEra(
+    http::JsonResponse(200, PageText("events", events, false, mRevision)));
+}
+
+/// Returns the response to a watch during which nothing has changed.
+http::Response
+Store::EmptyEvents(std::uint64_t aAfter) const
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  return WithEra(
+    http::JsonResponse(200, PageText("events", {}, false, aAfter)));
+}
+
+/// Adds the era to a response. The mutex must be locked.
+http::Response
+Store::WithEra(http::Response aResponse) const
+{
+  aResponse.headers.push_back({ "Store-Era", std::to_string(mEra) });
+  return aResponse;
 }
 
 asio::awaitable<void>
@@ -281,7 +317,7 @@
     }
     co_await Pause(kWatchPollInterval);
   }
-  auto response = http::JsonResponse(200, PageText("events", {}, false, after));
+  auto response = EmptyEvents(after);
   co_await aExchange.Respond(std::move(response));
 }
 
--- a/standins/store.h
+++ b/standins/store.h
@@ -47,6 +47,14 @@
   /// Discards the history; a watch from an earlier revision gets 410.
   void Compact();
 
+  /// Keeps a copy of the present state.
+  void SaveCopy();
+
+  /// Comes back from the kept copy, as an operator's drill does: what was
+  /// written since is gone, its revisions are given out again, and the era
+  /// rises. Cuts all watches.
+  void RestoreCopy();
+
   /// Sets the number of items per page.
   void SetPageSize(std::size_t aItems);
 
@@ -63,6 +71,13 @@
     std::uint64_t created = 0;
   };
 
+  /// What a copy of the store contains.
+  struct State
+  {
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 1;
+  };
+
   StoreFault Fault() const;
   std::uint64_t Cuts() const;
   boost::asio::awaitable<void> Fail(http::Exchange& aExchange,
@@ -72,12 +87,16 @@
   static std::string ItemText(const std::string& aKey, const Item& aItem);
   http::Response ItemResponse(const http::Request& aRequest) const;
   http::Response Range(const http::Request& aRequest) const;
+  http::Response EmptyEvents(std::uint64_t aAfter) const;
+  http::Response WithEra(http::Response aResponse) const;
   std::optional<http::Response> EventsResponse(const std::string& aPrefix,
                                                std::uint64_t aAfter) const;
 
   mutable std::mutex mMutex; ///< Guards all members below.
   std::map<std::string, Item> mItems;
   std::uint64_t mRevision = 1;
+  State mCopy;
+  std::uint64_t mEra = 1;
   std::uint64_t mCompactedRevision = 0; ///< First revision to watch from.
   std::size_t mPageSize = 50;
   StoreFault mFault = StoreFault::kNone;
