--- a/src/document/settings.cpp
+++ b/src/document/settings.cpp
@@ -25,6 +25,8 @@
   { "metrics-address", &Settings::metricsAddressText },
   { "threads", &Settings::threads, false, 1, 64 },
   { "processor-share", &Settings::processorShare },
+  { "memory-mb", &Settings::memoryMegabytes, false, 0, 1000000 },
+  { "max-files", &Settings::maxFiles, false, 0, 10000000 },
   { "drain-time", &Settings::drainTime, false, 0, 3600 },
 };
 
--- a/tests/platform_fleet.cpp
+++ b/tests/platform_fleet.cpp
@@ -148,7 +148,7 @@
        << "\nadmin-address = " << document::Format(aVm.metricsAddress)
        << "\nmetrics-address = " << document::Format(aVm.metricsAddress)
        << "\nthreads = 1\ndrain-time = 8s\n"
-       << "[platform]\nkind = metadata-store\naddress = "
+       << mVmSettings << "[platform]\nkind = metadata-store\naddress = "
        << document::Format(mStoreAddress)
        << "\n[peers]\nkeys = trial:0123456789abcdef0123456789abcdef\nseeds = "
        << seeds << "\n[admin]\ntoken-digest = " << Sha256Hex("operators-token")
@@ -156,6 +156,15 @@
   return text.str();
 }
 
+void
+PlatformFleet::AddVmSetting(const std::string& aLine)
+{
+  mVmSettings += aLine + "\n";
+  for (const auto& vm : mVms) {
+    std::ofstream(vm.settingsPath) << WriteSettings(vm);
+  }
+}
+
 standins::BatchEngine&
 PlatformFleet::AddEngine(standins::BatchEngineOptions aOptions)
 {
--- a/tests/platform_fleet.h
+++ b/tests/platform_fleet.h
@@ -102,6 +102,9 @@
                          load::Network* aNetwork = nullptr);
   ~PlatformFleet();
 
+  /// Adds a line to the [vm] section of all settings. Call before Start().
+  void AddVmSetting(const std::string& aLine);
+
   /// Starts a backend server and writes its store entry.
   standins::BatchEngine& AddEngine(standins::BatchEngineOptions aOptions);
 
@@ -197,6 +200,7 @@
                                      Duration aTimeout);
 
   std::string mFolder;
+  std::string mVmSettings; ///< Additional lines of the [vm] section.
   load::Network* mNetwork;
   http::Threads mThreads{ 2 };
   standins::Store mStore;
