Bound the memory and the descriptors that callers use

Callers outside the limits, and bursts of large bodies within them, ended a process: nothing counted the memory of requests, and bodies were kept by idle connections and copied for each send. Bodies of requests now share one account with those of responses, whose size follows from memory-mb; requests that are still being read give way with a true 503. Idle connections and connections to servers keep no body. For a connection beyond max-files, the one that has waited longest is closed.

--- a/include/magnoliatide/http/body_memory.h
+++ b/include/magnoliatide/http/body_memory.h
@@ -1,14 +1,17 @@
-// The memory that the bodies of responses may use together in a process. Bodies
-// share it so that servers that send without end cannot use up the process's
-// memory. If it is used up, a large body that has not grown for long gives way:
-// its read fails. So does a complete one whose caller has stopped taking it.
-// Small bodies are not displaced by large ones.
+// The memory that the bodies of requests and responses may use together in a
+// process. Bodies share it so that neither callers nor servers that send
+// without end can use up the process's memory. If it is used up, a large body
+// that has not grown for long gives way: its read fails. So does a complete
+// response whose caller has stopped taking it. Small bodies are not displaced
+// by large ones. A complete request stays, since a server may run it, and no
+// request displaces a response.
 #ifndef MAGNOLIATIDE_HTTP_BODY_MEMORY_H
 #define MAGNOLIATIDE_HTTP_BODY_MEMORY_H
 
 #include <boost/asio/any_io_executor.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -22,6 +25,13 @@
   kDenied, ///< This body gives way.
 };
 
+/// What a body belongs to.
+enum class BodyKind
+{
+  kRequest,
+  kResponse,
+};
+
 /// The share of one body. Returned when the object is destroyed. Each object is
 /// used on one event loop; different ones may be used on different loops.
 class BodyMemory
@@ -40,7 +50,8 @@
   /// @param aGiveWay Called on that loop if the body must give way. Ends the
   ///     read, after which the share must be returned. Not called after End().
   void Begin(boost::asio::any_io_executor aExecutor,
-             std::function<void()> aGiveWay);
+             std::function<void()> aGiveWay,
+             BodyKind aKind = BodyKind::kResponse);
 
   /// Enlarges the share to the size of the body. The first bytes of each body
   /// are not counted.
@@ -67,6 +78,16 @@
   /// Returns the share.
   void Clear();
 
+  /// Sets the memory for all bodies of the process. Those of requests may use
+  /// three quarters of it; without a call, they are not limited.
+  static void SetLimit(std::size_t aBytes);
+
+  /// Returns the bytes in use by all bodies.
+  static std::size_t UsedBytes();
+
+  /// Returns how often a body had to give way or was denied memory.
+  static std::uint64_t Displaced();
+
 private:
   struct Share;
   class Shares;
--- a/include/magnoliatide/http/server.h
+++ b/include/magnoliatide/http/server.h
@@ -27,6 +27,9 @@
   /// Returns the request.
   virtual const Request& Incoming() const = 0;
 
+  /// Frees the request's body, of which the handler has a copy.
+  virtual void DropBody() {}
+
   /// Sends a complete response.
   ///
   /// @param aMemory The share of memory that the body uses, if it is counted.
@@ -86,7 +89,7 @@
   kWriteFailed,   ///< A response could not be written.
   kHandlerFailed, ///< The handler failed.
   kAborted,       ///< The handler aborted a response.
-  kLimit,         ///< Too many connections were open.
+  kLimit,         ///< Too many connections or large bodies were open.
 };
 
 /// Returns the name of a cause for metrics and logs.
@@ -117,7 +120,10 @@
   /// higher ones apply to this request.
   std::function<ServerLimits()> limits = [] { return ServerLimits(); };
   Duration writeTimeout = Seconds(20); ///< How long each write may take.
-  int maxConnections = 20000; ///< Further connections are closed at once.
+  /// For a further connection, the one that has waited for a request, or for
+  /// the rest of one, for longest is closed. Without one, the new one is.
+  int maxConnections = 20000;
+  int receiveBufferBytes = 0; ///< Of each connection; 0: as the system sets it.
   /// Whether responses carry a Keep-Alive header with the idle timeout.
   bool advertiseIdleTimeout = false;
 };
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -180,6 +180,7 @@
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   auto request = std::make_shared<Request>(executor, aExchange);
   request->call = params.dialect->DecodeCall(aExchange.Incoming());
+  aExchange.DropBody();
   request->table = params.table->Load();
   auto refusal = RefuseAsServer(request->call);
   if (!refusal) {
--- a/src/http/body_memory.cpp
+++ b/src/http/body_memory.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-/// For all bodies together, beyond kUncountedBytes each.
-constexpr std::size_t kMaxBytes = 32 * 1024 * 1024;
+/// For all bodies together, beyond kUncountedBytes each, unless a limit is set.
+constexpr std::size_t kDefaultMaxBytes = 32 * 1024 * 1024;
 constexpr std::size_t kUncountedBytes = 16 * 1024;
 /// A share up to this size gives way only if there is no larger one.
 constexpr std::size_t kSmallShareBytes = 64 * 1024;
@@ -38,6 +38,8 @@
   /// progress.
   std::function<void()> giveWay;
 
+  BodyKind kind = BodyKind::kResponse;
+
   // The mutex of Shares guards these.
   std::size_t bytes = 0;
   std::size_t progressBytes = 0; ///< The size at progressAt.
@@ -99,12 +101,53 @@
   {
     std::lock_guard<std::mutex> lock(mMutex);
     if (mShares.erase(aShare) > 0) {
-      mBytes -= aShare->bytes;
-      mLeavingBytes -= aShare->gaveWay ? aShare->bytes : 0;
+      AddBytes(*aShare, -static_cast<std::int64_t>(aShare->bytes));
+      const auto leaving = aShare->gaveWay ? aShare->bytes : 0;
+      mLeavingBytes -= leaving;
+      mLeavingRequestBytes -= aShare->kind == BodyKind::kRequest ? leaving : 0;
     }
   }
 
+  void SetLimit(std::size_t aBytes)
+  {
+    std::lock_guard<std::mutex> lock(mMutex);
+    mMaxBytes = aBytes;
+    mMaxRequestBytes = aBytes / 4 * 3;
+  }
+
+  std::size_t UsedBytes()
+  {
+    std::lock_guard<std::mutex> lock(mMutex);
+    return mBytes;
+  }
+
+  std::uint64_t Displaced()
+  {
+    std::lock_guard<std::mutex> lock(mMutex);
+    return mDisplaced;
+  }
+
 private:
+  void AddBytes(const Share& aShare, std::int64_t aBytes)
+  {
+    mBytes += static_cast<std::size_t>(aBytes);
+    if (aShare.kind == BodyKind::kRequest) {
+      mRequestBytes += static_cast<std::size_t>(aBytes);
+    }
+  }
+
+  /// Returns whether a share may grow while some bytes are taken as free.
+  bool Fits(const Share& aShare,
+            std::size_t aMore,
+            std::size_t aFree,
+            std::size_t aFreeOfRequests) const
+  {
+    const bool fits = mBytes - aFree + aMore <= mMaxBytes;
+    return fits &&
+           (aShare.kind == BodyKind::kResponse ||
+            mRequestBytes - aFreeOfRequests + aMore <= mMaxRequestBytes);
+  }
+
   /// Enlarges a share, or adds the shares that must give way to aLeaving.
   MemoryGrant EnlargeOrSelect(const std::shared_ptr<Share>& aShare,
                               std::size_t aBytes,
@@ -114,15 +157,24 @@
     if (aShare->gaveWay) {
       return MemoryGrant::kDenied;
     }
-    if (aBytes <= aShare->bytes) {
+    const bool isRequest = aShare->kind == BodyKind::kRequest;
+    const bool unlimited = isRequest && mMaxRequestBytes == 0;
+    if (aBytes <= aShare->bytes || unlimited) {
       return MemoryGrant::kGranted;
     }
+    if (isRequest && aBytes > mMaxRequestBytes) {
+      mDisplaced += 1;
+      aShare->gaveWay = true;
+      mLeavingBytes += aShare->bytes;
+      mLeavingRequestBytes += aShare->bytes;
+      return MemoryGrant::kDenied;
+    }
     const auto now = Clock::now();
     mShares.insert(aShare);
     const bool progress = aShare->IsProgress(aBytes);
     const auto more = aBytes - aShare->bytes;
-    if (mBytes + more <= kMaxBytes) {
-      mBytes += more;
+    if (Fits(*aShare, more, 0, 0)) {
+      AddBytes(*aShare, static_cast<std::int64_t>(more));
       aShare->bytes = aBytes;
       if (progress) {
         aShare->progressBytes = aBytes;
@@ -131,13 +183,16 @@
       return MemoryGrant::kGranted;
     }
     const Request request{ aShare.get(), aBytes, progress };
-    while (mBytes - mLeavingBytes + more > kMaxBytes) {
+    while (!Fits(*aShare, more, mLeavingBytes, mLeavingRequestBytes)) {
       const auto selected = Select(request, now);
-      if (selected == aShare && AnyDelivered()) {
+      if (selected == aShare && !isRequest && AnyDelivered()) {
         return MemoryGrant::kLater;
       }
       selected->gaveWay = true;
+      mDisplaced += 1;
       mLeavingBytes += selected->bytes;
+      mLeavingRequestBytes +=
+        selected->kind == BodyKind::kRequest ? selected->bytes : 0;
       if (selected == aShare) {
         return MemoryGrant::kDenied;
       }
@@ -177,16 +232,20 @@
                        static_cast<double>(bytes) *
                          ToSeconds(stall + kMinStall));
     };
-    std::shared_ptr<Share> selected;
-    for (const auto& share : mShares) {
-      if (!MayGiveWay(*share, aNow)) {
-        continue;
+    // Requests that are being read give way before any response.
+    for (const auto kind : { BodyKind::kRequest, BodyKind::kResponse }) {
+      std::shared_ptr<Share> selected;
+      for (const auto& share : mShares) {
+        const bool larger = !selected || cost(*selected) < cost(*share);
+        if (share->kind == kind && MayGiveWay(*share, aNow) && larger) {
+          selected = share;
+        }
       }
-      if (!selected || cost(*selected) < cost(*share)) {
-        selected = share;
+      if (selected) {
+        return selected;
       }
     }
-    return selected;
+    return nullptr;
   }
 
   /// Returns whether memory becomes free once callers have taken their answers,
@@ -200,8 +259,13 @@
 
   std::mutex mMutex;
   std::set<std::shared_ptr<Share>> mShares;
-  std::size_t mBytes = 0;        ///< Of all shares; at most kMaxBytes.
-  std::size_t mLeavingBytes = 0; ///< Of shares that have given way.
+  std::size_t mMaxBytes = kDefaultMaxBytes;
+  std::size_t mMaxRequestBytes = 0; ///< 0: requests are not counted.
+  std::size_t mBytes = 0;           ///< Of all shares; at most mMaxBytes.
+  std::size_t mRequestBytes = 0;    ///< Of requests; at most mMaxRequestBytes.
+  std::size_t mLeavingBytes = 0;    ///< Of shares that have given way.
+  std::size_t mLeavingRequestBytes = 0; ///< Of requests among them.
+  std::uint64_t mDisplaced = 0;
 };
 
 BodyMemory::Shares&
@@ -234,10 +298,12 @@
 
 void
 BodyMemory::Begin(boost::asio::any_io_executor aExecutor,
-                  std::function<void()> aGiveWay)
+                  std::function<void()> aGiveWay,
+                  BodyKind aKind)
 {
   Clear();
   mShare = std::make_shared<Share>();
+  mShare->kind = aKind;
   mShare->executor = std::move(aExecutor);
   mShare->giveWay = std::move(aGiveWay);
 }
@@ -294,4 +360,22 @@
   }
 }
 
+void
+BodyMemory::SetLimit(std::size_t aBytes)
+{
+  AllShares().SetLimit(aBytes);
+}
+
+std::size_t
+BodyMemory::UsedBytes()
+{
+  return AllShares().UsedBytes();
+}
+
+std::uint64_t
+BodyMemory::Displaced()
+{
+  return AllShares().Displaced();
+}
+
 } // namespace magnoliatide::http
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -173,6 +173,8 @@
     }
     if (written < mOutgoing.size()) {
       WriteRemaining(written);
+    } else {
+      mOutgoing = std::string();
     }
     co_return CallStatus::kDone;
   }
@@ -406,6 +408,7 @@
         // connection. The read returns how the call ended.
         self->mWriting = static_cast<bool>(aError);
         self->mWriteFailed = self->mWriting;
+        self->mOutgoing = std::string();
       });
   }
 
--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -45,6 +45,15 @@
   return used;
 }
 
+std::size_t
+RequestParser::BodyBytes() const
+{
+  const auto& body = mParser.get().body();
+  const auto length =
+    mHeaderDone ? mParser.content_length() : boost::optional<std::uint64_t>();
+  return std::max<std::size_t>(length.value_or(0), body.capacity());
+}
+
 void
 RequestParser::PutEnd(ErrorCode& aError)
 {
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -34,6 +34,9 @@
   std::size_t Put(boost::asio::const_buffer aBytes,
                   boost::system::error_code& aError);
 
+  /// Returns the size of the body: as announced, or as read so far.
+  std::size_t BodyBytes() const;
+
   /// Records that the sender has closed its side. Sets aError if the request
   /// is incomplete.
   void PutEnd(boost::system::error_code& aError);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -41,6 +41,20 @@
 /// caller can read the response before the connection is closed.
 constexpr Duration kLingerTime = Seconds(2);
 
+/// How long the head of a request may take to arrive, and its body in addition
+/// to its time at kMinBytesPerSecond.
+constexpr Duration kMaxRequestTime = Seconds(60);
+constexpr double kMinBytesPerSecond = 125000;
+
+/// Interval between requests for memory while other bodies give way.
+constexpr Duration kMemoryInterval = Milliseconds(1);
+
+/// A body takes its memory twice: as it is read, and as it is sent.
+constexpr std::size_t kCopiesPerBody = 2;
+
+/// An idle connection keeps a read buffer of at most this size.
+constexpr std::size_t kMaxIdleBufferBytes = 8192;
+
 /// Size of the buffer for one read of an idle or lingering connection.
 constexpr std::size_t kReadBufferBytes = 4096;
 
@@ -163,8 +177,27 @@
     });
   }
 
+  /// Closes the connection, unless a request is being served, to make room for
+  /// another one. Safe to call on any thread.
+  void Evict()
+  {
+    mWaitingSince.store(0);
+    asio::post(mStream.get_executor(), [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && !self->mServing) {
+        self->GiveWay("more connections than can be open");
+      }
+    });
+  }
+
+  /// Returns since when the connection waits for a request or for the rest of
+  /// one, as a count of the clock; 0 if it does not. Safe on any thread.
+  std::int64_t WaitingSince() const { return mWaitingSince.load(); }
+
   const Request& Incoming() const override { return mRequest; }
 
+  void DropBody() override { mRequest.body = std::string(); }
+
   asio::awaitable<void> Respond(Response aResponse,
                                 BodyMemory* aMemory) override
   {
@@ -393,8 +426,58 @@
       });
   }
 
+  Duration MaxRequestTime() const
+  {
+    return kMaxRequestTime +
+           FromSeconds(static_cast<double>(mLimits.bodyBytes) /
+                       kMinBytesPerSecond);
+  }
+
+  /// Ends the read in progress because others need the room.
+  void GiveWay(const char* aWhy)
+  {
+    mGaveWay = true;
+    SetCause(CloseCause::kLimit, aWhy);
+    ErrorCode ignored;
+    mStream.socket().cancel(ignored);
+  }
+
+  /// Reserves the memory for what was announced or read of the request. Returns
+  /// an error if it does not get the memory.
+  asio::awaitable<ErrorCode> Reserve()
+  {
+    const auto needed =
+      kCopiesPerBody * mParser->BodyBytes() + mBuffer.capacity();
+    while (!mGaveWay) {
+      const auto grant = mMemory.Enlarge(needed);
+      if (grant == MemoryGrant::kGranted) {
+        co_return ErrorCode();
+      }
+      if (grant == MemoryGrant::kDenied || mReadExpired) {
+        break;
+      }
+      asio::steady_timer timer(mStream.get_executor(), kMemoryInterval);
+      co_await timer.async_wait(kNoThrow);
+    }
+    mGaveWay = true;
+    SetCause(CloseCause::kLimit, "the memory for bodies is used up");
+    co_return asio::error::no_memory;
+  }
+
+  /// Frees what the last request has used.
+  void FreeRequest()
+  {
+    mRequest = Request();
+    mParser.reset();
+    mMemory.Clear();
+    if (mBuffer.capacity() > kMaxIdleBufferBytes) {
+      mBuffer.shrink_to_fit();
+    }
+  }
+
   asio::awaitable<bool> ReadRequest()
   {
+    FreeRequest();
     mRequestStarted = false;
     mRequestRead = false;
     mResponseStarted = false;
@@ -403,17 +486,32 @@
     mStream.expires_never();
     mLimits = mShared->options.limits();
     mParser.emplace();
+    mWaitingSince.store(Clock::now().time_since_epoch().count());
     if (mBuffer.size() == 0 && !co_await WaitForBytes()) {
       co_return false;
     }
     mRequestStarted = true;
     mFirstByteAt = Clock::now();
+    mMemory.Begin(
+      mStream.get_executor(),
+      [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) {
+          self->GiveWay("the memory for bodies is used up");
+        }
+      },
+      BodyKind::kRequest);
     StartReadTimer(mLimits.headerTimeout);
     ErrorCode error = ParseBuffer();
     while (!error && !mParser->IsDone()) {
       if (mParser->IsHeaderDone()) {
         StartReadTimer(mLimits.headerTimeout);
       }
+      mReadExpired |= Clock::now() - mFirstByteAt > MaxRequestTime();
+      error = co_await Reserve();
+      if (error) {
+        break;
+      }
       // No conditional expression: GCC 12 evaluates its condition after
       // co_await.
       if (mReadExpired) {
@@ -426,6 +524,10 @@
       }
     }
     StopReadTimer();
+    mWaitingSince.store(0);
+    if (!mMemory.End() && !error) {
+      error = asio::error::no_memory;
+    }
     if (error) {
       co_await RefuseMalformed(error);
       co_return false;
@@ -541,7 +643,7 @@
       mFirstRequest ? mOpenedAt + kFirstRequestGrace : TimePoint();
     mIdle = true;
     ErrorCode error;
-    while (mBuffer.size() == 0 && !error) {
+    while (mBuffer.size() == 0 && !error && !mGaveWay) {
       const bool draining = mShared->draining.load();
       const TimePoint end = draining ? std::min(idleEnd, drainEnd) : idleEnd;
       const TimePoint now = Clock::now();
@@ -567,7 +669,7 @@
     if (error) {
       SetCause(CloseCause::kCaller, error.message());
     }
-    co_return !error;
+    co_return !error && !mGaveWay;
   }
 
   /// Reads the bytes that have arrived; would_block if there are none.
@@ -588,10 +690,16 @@
     mShared->counters.malformed.fetch_add(1);
     mKeepAlive = false;
     mLinger = true;
+    // The body is not kept while the rest of it is discarded.
+    FreeRequest();
     int status = 400;
     const char* kind = "malformed-request";
     const char* remedy = "send a valid HTTP/1.1 request";
-    if (aError == bhttp::error::body_limit) {
+    if (mGaveWay) {
+      status = 503;
+      kind = "no-memory";
+      remedy = "send the request again later";
+    } else if (aError == bhttp::error::body_limit) {
       status = 413;
       kind = "body-too-large";
       remedy = "send a smaller body";
@@ -622,6 +730,9 @@
                    std::string(R"({"error":{"outcome":"not-run","kind":")") +
                      kind + R"(","remedy":")" + remedy + "\"}}");
     response.headers.push_back({ "X-Outcome", "not-run" });
+    if (mGaveWay) {
+      response.headers.push_back({ "Retry-After", "1" });
+    }
     co_await Respond(std::move(response), nullptr);
     if (aError == bhttp::error::partial_message) {
       // The caller has closed its side, so it probably does not read this.
@@ -685,6 +796,9 @@
   beast::flat_buffer mBuffer;
   std::optional<RequestParser> mParser;
   Request mRequest;
+  BodyMemory mMemory;    ///< Of the request that is being read or served.
+  bool mGaveWay = false; ///< Ends, to make room for others.
+  std::atomic<std::int64_t> mWaitingSince{ 0 }; ///< As WaitingSince().
   std::function<void()> mOnDisconnect;
   bool mKeepAlive = true;
   bool mAborted = false;
@@ -772,6 +886,11 @@
       mAcceptor.open(endpoint.protocol());
       mAcceptor.set_option(tcp::acceptor::reuse_address(true));
       mAcceptor.bind(endpoint);
+      if (mShared->options.receiveBufferBytes > 0) {
+        // Accepted connections inherit it.
+        mAcceptor.set_option(asio::socket_base::receive_buffer_size(
+          mShared->options.receiveBufferBytes));
+      }
       mAcceptor.listen(4096);
     } catch (const boost::system::system_error& error) {
       throw std::runtime_error("cannot listen on " + document::Format(address) +
@@ -809,7 +928,8 @@
   void Start(tcp::socket aSocket)
   {
     auto& counters = mShared->counters;
-    if (counters.open.load() >= mShared->options.maxConnections) {
+    if (counters.open.load() >= mShared->options.maxConnections &&
+        !EvictWaiting()) {
       ReportRefused("");
       return;
     }
@@ -827,6 +947,25 @@
                    });
   }
 
+  /// Closes the connection that has waited for longest for a request or for the
+  /// rest of one. Returns whether there is one.
+  bool EvictWaiting()
+  {
+    std::lock_guard<std::mutex> lock(mShared->mutex);
+    Connection* longest = nullptr;
+    for (auto* connection : mShared->connections) {
+      const auto since = connection->WaitingSince();
+      if (since != 0 &&
+          (longest == nullptr || since < longest->WaitingSince())) {
+        longest = connection;
+      }
+    }
+    if (longest != nullptr) {
+      longest->Evict();
+    }
+    return longest != nullptr;
+  }
+
   /// Counts a connection that is closed because it cannot be served.
   void ReportRefused(const char* aDetail)
   {
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -21,6 +21,8 @@
 
 #include <boost/asio.hpp>
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <condition_variable>
 #include <mutex>
@@ -53,6 +55,48 @@
 /// connection is closed.
 constexpr Duration kDeadPeerTimeout = Seconds(3);
 
+/// Part of the process's memory for the bodies of requests and responses. The
+/// rest is for connections, the operating system's buffers and everything else.
+constexpr double kBodyMemoryFraction = 0.4;
+
+/// Part of the process's memory for what callers have sent and the process has
+/// not read.
+constexpr double kReceiveMemoryFraction = 0.25;
+constexpr int kMinReceiveBufferBytes = 16 * 1024;
+constexpr int kMaxReceiveBufferBytes = 64 * 1024;
+
+/// Descriptors that are not for sockets.
+constexpr int kFilesReserved = 200;
+
+/// Larger blocks are returned to the operating system when they are freed.
+/// Otherwise the freed bodies of a burst would stay with the process.
+constexpr int kMaxPooledBlockBytes = 128 * 1024;
+
+constexpr double kBytesPerMegabyte = 1024 * 1024;
+
+/// Applies the limits of the machine to the server of callers.
+void
+LimitResources(const document::Settings& aSettings,
+               http::ServerOptions& aCallers)
+{
+  if (aSettings.maxFiles > 0) {
+    // A request needs a connection to a server, too.
+    aCallers.maxConnections =
+      std::max((aSettings.maxFiles - kFilesReserved) / 2, 1);
+  }
+  if (aSettings.memoryMegabytes > 0) {
+    const double bytes = aSettings.memoryMegabytes * kBytesPerMegabyte;
+    http::BodyMemory::SetLimit(
+      static_cast<std::size_t>(bytes * kBodyMemoryFraction));
+    // Linux reserves twice the size that is set.
+    const double perConnection =
+      bytes * kReceiveMemoryFraction / aCallers.maxConnections / 2;
+    aCallers.receiveBufferBytes = static_cast<int>(std::clamp<double>(
+      perConnection, kMinReceiveBufferBytes, kMaxReceiveBufferBytes));
+    ::mallopt(M_MMAP_THRESHOLD, kMaxPooledBlockBytes);
+  }
+}
+
 backend::PoolOptions
 PoolOptionsFor(const document::Settings& aSettings)
 {
@@ -366,6 +410,7 @@
     http::ServerOptions callers;
     callers.address = mSettings.callerAddress;
     callers.advertiseIdleTimeout = true;
+    LimitResources(mSettings, callers);
     callers.limits = [this] { return CurrentLimits(); };
     callers.onConnectionEnd = [this](const http::ConnectionEnd& aEnd) {
       RecordConnectionEnd(
@@ -486,6 +531,7 @@
       SendAll(mMembership.Tick(now));
       ApplyMembershipEvents();
       mReplicaService.Tick(now);
+      ReportMemory();
       for (const auto& address : mMembership.TakeSyncPeers()) {
         asio::co_spawn(mLoop, SyncWith(address), asio::detached);
         break;
@@ -493,6 +539,31 @@
     }
   }
 
+  /// Reports the memory of bodies, and when it is used up and free again.
+  void ReportMemory()
+  {
+    const auto used = http::BodyMemory::UsedBytes();
+    const auto displaced = http::BodyMemory::Displaced();
+    if (used != mReportedMemory) {
+      mReportedMemory = used;
+      mMetrics.Set("body_memory_bytes", {}, used);
+    }
+    if (displaced != mReportedDisplaced) {
+      mMetrics.Count(
+        "bodies_displaced_total", {}, displaced - mReportedDisplaced);
+      mReportedDisplaced = displaced;
+      if (!std::exchange(mMemoryUsedUp, true)) {
+        mAudit.Add("memory of bodies",
+                   "free",
+                   "used up",
+                   std::to_string(used) + " bytes in use");
+      }
+    } else if (mMemoryUsedUp && used == 0) {
+      mMemoryUsedUp = false;
+      mAudit.Add("memory of bodies", "used up", "free", "no body is in use");
+    }
+  }
+
   /// Exchanges the full membership state with a VM whose rumours differ.
   asio::awaitable<void> SyncWith(std::string aAddress)
   {
@@ -558,6 +629,9 @@
   LocalDispatcher mLocalDispatcher;
   forward::Forwarder mForwarder;
   bool mMembersApplied = false;
+  std::size_t mReportedMemory = 0;
+  std::uint64_t mReportedDisplaced = 0;
+  bool mMemoryUsedUp = false; ///< Since a body was displaced.
   // The members below are also used outside the event loop.
   std::atomic<bool> mDraining{ false };
   std::unique_ptr<http::Server> mCallerServer;
