--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -5,6 +5,7 @@
 #include "explain.h"
 #include "fleet_commands.h"
 #include "options.h"
+#include "settings_overrides.h"
 
 #include "magnoliatide/document/settings.h"
 #include "magnoliatide/node/vm.h"
@@ -30,6 +31,11 @@
 #include <vector>
 
 DEFINE_string(settings, "", "path of the VM's settings file (serve)");
+DEFINE_string(
+  set,
+  "",
+  "settings in addition to the file: SECTION/KEY=VALUE,... (serve); "
+  "those without a value are ignored");
 DEFINE_bool(json, false, "print JSON instead of text");
 DEFINE_string(vms, "", "admin addresses of the VMs: IP:PORT,IP:PORT,...");
 DEFINE_string(token_file,
@@ -84,7 +90,7 @@
   return ValueOrFaults(
     [&aPath]() -> leaf::result<document::Settings> {
       BOOST_LEAF_AUTO(text, document::ReadFile(aPath));
-      return document::ParseSettings(aPath, text);
+      return document::ParseSettings(aPath, AddSettings(text, FLAGS_set));
     },
     aFaults);
 }
@@ -285,7 +291,7 @@
 
 constexpr Command kCommands[] = {
   { "serve",
-    "--settings FILE",
+    "--settings FILE [--set SECTION/KEY=VALUE,...]",
     "Run a VM until it receives SIGINT or SIGTERM",
     "If --settings is not given, MAGNOLIATIDE_CONFIG names the settings "
     "file.\n"
