--- a/include/magnoliatide/document/settings.h
+++ b/include/magnoliatide/document/settings.h
@@ -64,7 +64,7 @@
   /// Number of threads that serve callers. Not used with "metadata-store".
   int threads = 2;
   double processorShare = 1; ///< Fraction of a processor that the VM may use.
-  int memoryMegabytes = 0; ///< That the process may use; 0: not limited.
+  int memoryMegabytes = 0;   ///< That the process may use; 0: not limited.
   int maxFiles = 0; ///< File descriptors that it may use; 0: not limited.
   /// "registry" for the platform of this project, or "metadata-store".
   std::string platformKind = "registry";
