Fix what the reviews of the new parts found

Callers: a request that gave way with its last bytes got no answer; an evicted connection kept its descriptor while it lingered, and its request was dropped; a head with thousands of fields was not counted; small half-sent bodies starved larger ones; the number of connections did not follow from the memory; the time of a whole request and the eviction applied without the settings. Client: a reset after the proper end of an answer made it count as broken. Evacuations: a held one ended while the store was away; a counter that is given out again was taken for a withdrawn request, and only the last one was known. Cold servers: a crash of a warm one hid the evidence of its other runs; failed connections from another zone made servers cold. Store: pings of an earlier era counted as answers.

--- a/include/magnoliatide/fleet/directory.h
+++ b/include/magnoliatide/fleet/directory.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace magnoliatide::fleet {
@@ -119,11 +120,14 @@
     bool evacuated = false;
     Evacuation evacuation;       ///< Its revision is that of the last change.
     std::uint64_t requested = 0; ///< Revision of the last request.
+    /// Counters of the latest requests that were taken back.
+    std::set<std::uint64_t> withdrawn;
     /// The request is missing in a later era; it ends then. Zero: not missing.
     TimePoint heldUntil{};
   };
 
   bool IsEvacuated(const std::string& aZone) const;
+  static void RecordWithdrawn(ZoneState& aState);
   void RecordEra(std::uint64_t aRevision, TimePoint aNow);
   static bool IsOlderReport(const State& aState, const ServerEntry& aEntry);
   bool ApplyEntry(State& aState, const ServerEntry& aEntry, TimePoint aNow);
--- a/include/magnoliatide/http/server.h
+++ b/include/magnoliatide/http/server.h
@@ -120,9 +120,13 @@
   /// higher ones apply to this request.
   std::function<ServerLimits()> limits = [] { return ServerLimits(); };
   Duration writeTimeout = Seconds(20); ///< How long each write may take.
-  /// For a further connection, the one that has waited for a request, or for
-  /// the rest of one, for longest is closed. Without one, the new one is.
-  int maxConnections = 20000;
+  int maxConnections = 20000; ///< Further connections are closed at once.
+  /// For a further connection, closes the one that has waited longest for a
+  /// request, or for the rest of one.
+  bool evictsWaiting = false;
+  /// How long a request may take to arrive, beyond the time that its largest
+  /// body takes on a slow link; zero: only the time of each read is limited.
+  Duration maxRequestTime{};
   int receiveBufferBytes = 0; ///< Of each connection; 0: as the system sets it.
   /// Whether responses carry a Keep-Alive header with the idle timeout.
   bool advertiseIdleTimeout = false;
--- a/include/magnoliatide/policy/allocator.h
+++ b/include/magnoliatide/policy/allocator.h
@@ -265,6 +265,7 @@
   void RecordCrashEvidence(InterruptedRun aRun,
                            const Job& aJob,
                            const SendReport& aReport,
+                           bool aOverloaded,
                            TimePoint aNow);
   void UpdateEstimates(Service& aService,
                        const RunningJob& aRunning,
--- a/src/fleet/directory.cpp
+++ b/src/fleet/directory.cpp
@@ -12,6 +12,14 @@
 /// Number of known servers above which removed ones are dropped.
 constexpr std::size_t kMaxServers = 4096;
 
+/// What a copy of the store contains arrives with the first list of its era.
+/// Later, counters that were used before are given out again.
+constexpr Duration kCopyArrivalTime = Seconds(1);
+
+/// Withdrawn requests that are remembered for each zone; a copy is only some
+/// seconds old.
+constexpr std::size_t kMaxWithdrawn = 16;
+
 } // namespace
 
 Directory::Directory(DirectoryOptions aOptions)
@@ -123,8 +131,9 @@
                         state.evacuation.revision > 0;
   state.evacuation.revision = aRevision;
   if (aEvacuated) {
-    const bool copied =
-      laterEra && CounterOf(aRevision) == CounterOf(state.requested);
+    const bool copied = laterEra &&
+                        state.withdrawn.count(CounterOf(aRevision)) > 0 &&
+                        aNow - mEraBeganAt < kCopyArrivalTime;
     if (copied && !state.evacuated) {
       // Taken back since; the operator removes the request again.
       return false;
@@ -138,12 +147,25 @@
   if (state.evacuated == aEvacuated) {
     return false;
   }
+  if (!aEvacuated) {
+    RecordWithdrawn(state);
+  }
   state.evacuated = aEvacuated;
   state.evacuation.since = aNow;
   mRoster.reset();
   return true;
 }
 
+/// Records that the last request for a zone was taken back.
+void
+Directory::RecordWithdrawn(ZoneState& aState)
+{
+  aState.withdrawn.insert(CounterOf(aState.requested));
+  if (aState.withdrawn.size() > kMaxWithdrawn) {
+    aState.withdrawn.erase(aState.withdrawn.begin());
+  }
+}
+
 bool
 Directory::IsEvacuated(const std::string& aZone) const
 {
@@ -212,6 +234,10 @@
 {
   bool changed = false;
   for (auto& [zone, state] : mZones) {
+    if (state.heldUntil != TimePoint{} && !mStoreReachable) {
+      // Whether it is written again cannot be seen now.
+      state.heldUntil = aNow + mOptions.evacuationHold;
+    }
     if (state.heldUntil != TimePoint{} && aNow >= state.heldUntil) {
       state.heldUntil = TimePoint{};
       state.evacuated = false;
--- a/src/fleet/directory_test.cpp
+++ b/src/fleet/directory_test.cpp
@@ -276,6 +276,45 @@
     "x", true, StoreRevision(3, 11), kStart + Seconds(41)));
 }
 
+// Guards against a new evacuation that is taken for a withdrawn one, because
+// the store gives out its counter again, and against the return of an earlier
+// one of two.
+TEST(Directory, ACounterThatIsGivenOutAgainIsANewEvacuation)
+{
+  Directory directory;
+  directory.MergeServer({ "a", Server("a", 1, 4), StoreRevision(1, 1) },
+                        kStart);
+  directory.SetEvacuated("x", true, StoreRevision(1, 10), kStart);
+  directory.SetEvacuated("x", false, StoreRevision(1, 12), kStart);
+  directory.SetEvacuated("x", true, StoreRevision(1, 20), kStart);
+  directory.SetEvacuated("x", false, StoreRevision(1, 25), kStart);
+  const auto restored = kStart + Seconds(5);
+  EXPECT_FALSE(
+    directory.SetEvacuated("x", true, StoreRevision(2, 10), restored));
+  const auto later = restored + Seconds(10);
+  Directory other;
+  other.MergeServer({ "a", Server("a", 1, 4), StoreRevision(1, 1) }, kStart);
+  other.SetEvacuated("x", true, StoreRevision(1, 10), kStart);
+  other.SetEvacuated("x", false, StoreRevision(1, 12), kStart);
+  other.MergeServer({ "a", Server("a", 1, 4), StoreRevision(2, 1) }, restored);
+  EXPECT_TRUE(other.SetEvacuated("x", true, StoreRevision(2, 10), later));
+}
+
+// Guards against a held evacuation that ends while the store is away.
+TEST(Directory, AHeldEvacuationStaysWhileTheStoreIsAway)
+{
+  Directory directory;
+  directory.SetEvacuated("x", true, StoreRevision(1, 10), kStart);
+  directory.SetEvacuated("x", false, StoreRevision(2, 8), kStart);
+  directory.RecordStoreAccess(false, kStart + Seconds(1));
+  directory.Tick(kStart + Seconds(60));
+  EXPECT_EQ(directory.Evacuations().count("x"), 1U);
+  directory.RecordStoreAccess(true, kStart + Seconds(61));
+  directory.Tick(kStart + Seconds(65));
+  EXPECT_EQ(directory.Evacuations().count("x"), 1U);
+  EXPECT_TRUE(directory.Tick(kStart + Seconds(72)));
+}
+
 // Guards against an evacuation that a copy lacks and nobody writes again.
 TEST(Directory, AnEvacuationThatIsNotWrittenAgainEnds)
 {
--- a/src/http/body_memory.cpp
+++ b/src/http/body_memory.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t kUncountedBytes = 16 * 1024;
 /// A share up to this size gives way only if there is no larger one.
 constexpr std::size_t kSmallShareBytes = 64 * 1024;
+/// A small share of a request that has not grown for this time counts as a
+/// large one: many half-sent bodies must not take the place of others.
+constexpr Duration kSmallShareStall = Seconds(1);
 /// Growth that counts as progress, or the quarter of a smaller share. A byte
 /// now and then is none.
 constexpr std::size_t kProgressBytes = 64 * 1024;
@@ -228,7 +231,9 @@
       const auto bytes = asking ? aRequest.bytes : aShare.bytes;
       const Duration stall =
         asking && aRequest.progress ? Duration() : aNow - aShare.progressAt;
-      return std::pair(bytes > kSmallShareBytes,
+      const bool stalled =
+        aShare.kind == BodyKind::kRequest && stall > kSmallShareStall;
+      return std::pair(bytes > kSmallShareBytes || stalled,
                        static_cast<double>(bytes) *
                          ToSeconds(stall + kMinStall));
     };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -407,7 +407,8 @@
         // After an error mWriting stays true, which prevents the reuse of the
         // connection. The read returns how the call ended.
         self->mWriting = static_cast<bool>(aError);
-        self->mWriteFailed = self->mWriting;
+        // A reset after the proper end of the connection is a broken pipe.
+        self->mWriteFailed = aError && aError != asio::error::broken_pipe;
         self->mOutgoing = std::string();
       });
   }
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -144,6 +144,23 @@
   socket.close();
 }
 
+/// Sends a whole answer, ends its side of the connection properly and then
+/// resets it, because the request is still arriving.
+asio::awaitable<void>
+EndThenReset(tcp::acceptor& aAcceptor, std::string aAnswer)
+{
+  auto socket = co_await aAcceptor.async_accept(asio::use_awaitable);
+  char request[1024];
+  co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+  co_await asio::async_write(
+    socket, asio::buffer(aAnswer), asio::use_awaitable);
+  socket.shutdown(tcp::socket::shutdown_send);
+  asio::steady_timer timer(socket.get_executor(), Milliseconds(50));
+  co_await timer.async_wait(asio::use_awaitable);
+  socket.set_option(asio::socket_base::linger(true, 0));
+  socket.close();
+}
+
 /// Sends a whole answer and ends its side of the connection while the request
 /// is still arriving.
 asio::awaitable<void>
@@ -247,6 +264,19 @@
   EXPECT_EQ(reading.text, "abc");
 }
 
+// Guards against the loss of a whole answer without a length whose server
+// closes the connection with unread input right after its proper end.
+TEST(ClientReset, AResetAfterTheEndOfAnAnswerIsHarmless)
+{
+  const auto reading =
+    ReadDuringUpload(Milliseconds(200), [](tcp::acceptor& aAcceptor) {
+      return EndThenReset(aAcceptor, "HTTP/1.1 200 OK\r\n\r\nabc");
+    });
+  EXPECT_EQ(reading.head, CallStatus::kDone);
+  EXPECT_EQ(reading.body, CallStatus::kDone);
+  EXPECT_EQ(reading.text, "abc");
+}
+
 // Guards against answers with a status that HTTP does not define, which a
 // server in trouble sends: they say nothing about the request.
 TEST(ClientStatus, OnlyFinalStatusesAreAnswers)
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -34,6 +34,9 @@
   std::size_t Put(boost::asio::const_buffer aBytes,
                   boost::system::error_code& aError);
 
+  /// Returns the number of fields of the head.
+  std::size_t Fields() const { return mRequest.headers.size(); }
+
   /// Returns the size of the body: as announced, or as read so far.
   std::size_t BodyBytes() const;
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -41,9 +41,7 @@
 /// caller can read the response before the connection is closed.
 constexpr Duration kLingerTime = Seconds(2);
 
-/// How long the head of a request may take to arrive, and its body in addition
-/// to its time at kMinBytesPerSecond.
-constexpr Duration kMaxRequestTime = Seconds(60);
+/// A body may take its time at this rate beyond ServerOptions::maxRequestTime.
 constexpr double kMinBytesPerSecond = 125000;
 
 /// Interval between requests for memory while other bodies give way.
@@ -52,6 +50,14 @@
 /// A body takes its memory twice: as it is read, and as it is sent.
 constexpr std::size_t kCopiesPerBody = 2;
 
+/// Memory of a field of the head, beyond its text: in the parser, in the
+/// request and in the copy that is passed on.
+constexpr std::size_t kBytesPerField = 256;
+
+/// How many connections beyond the maximum may be open until evicted ones have
+/// ended, as a fraction of the maximum.
+constexpr int kEvictionReserve = 8;
+
 /// An idle connection keeps a read buffer of at most this size.
 constexpr std::size_t kMaxIdleBufferBytes = 8192;
 
@@ -185,6 +191,7 @@
     asio::post(mStream.get_executor(), [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self && !self->mServing) {
+        self->mEvicted = true;
         self->GiveWay("more connections than can be open");
       }
     });
@@ -428,7 +435,7 @@
 
   Duration MaxRequestTime() const
   {
-    return kMaxRequestTime +
+    return mShared->options.maxRequestTime +
            FromSeconds(static_cast<double>(mLimits.bodyBytes) /
                        kMinBytesPerSecond);
   }
@@ -446,8 +453,8 @@
   /// an error if it does not get the memory.
   asio::awaitable<ErrorCode> Reserve()
   {
-    const auto needed =
-      kCopiesPerBody * mParser->BodyBytes() + mBuffer.capacity();
+    const auto needed = kCopiesPerBody * mParser->BodyBytes() +
+                        kBytesPerField * mParser->Fields() + mBuffer.capacity();
     while (!mGaveWay) {
       const auto grant = mMemory.Enlarge(needed);
       if (grant == MemoryGrant::kGranted) {
@@ -507,7 +514,8 @@
       if (mParser->IsHeaderDone()) {
         StartReadTimer(mLimits.headerTimeout);
       }
-      mReadExpired |= Clock::now() - mFirstByteAt > MaxRequestTime();
+      mReadExpired |= mShared->options.maxRequestTime > Duration::zero() &&
+                      Clock::now() - mFirstByteAt > MaxRequestTime();
       error = co_await Reserve();
       if (error) {
         break;
@@ -526,13 +534,16 @@
     StopReadTimer();
     mWaitingSince.store(0);
     if (!mMemory.End() && !error) {
+      // It was told to give way after its last bytes had arrived.
+      mGaveWay = true;
+      SetCause(CloseCause::kLimit, "the memory for bodies is used up");
       error = asio::error::no_memory;
     }
     if (error) {
       co_await RefuseMalformed(error);
       co_return false;
     }
-    mKeepAlive = mParser->KeepsConnection();
+    mKeepAlive = mParser->KeepsConnection() && !mGaveWay;
     mRequest = mParser->Take();
     mRequestRead = true;
     co_return true;
@@ -669,7 +680,8 @@
     if (error) {
       SetCause(CloseCause::kCaller, error.message());
     }
-    co_return !error && !mGaveWay;
+    // A request that has arrived gets an answer.
+    co_return !error && (!mGaveWay || mBuffer.size() > 0);
   }
 
   /// Reads the bytes that have arrived; would_block if there are none.
@@ -689,7 +701,8 @@
   {
     mShared->counters.malformed.fetch_add(1);
     mKeepAlive = false;
-    mLinger = true;
+    // An evicted connection must free its descriptor at once.
+    mLinger = !mEvicted;
     // The body is not kept while the rest of it is discarded.
     FreeRequest();
     int status = 400;
@@ -798,6 +811,7 @@
   Request mRequest;
   BodyMemory mMemory;    ///< Of the request that is being read or served.
   bool mGaveWay = false; ///< Ends, to make room for others.
+  bool mEvicted = false; ///< It ends to make room for another connection.
   std::atomic<std::int64_t> mWaitingSince{ 0 }; ///< As WaitingSince().
   std::function<void()> mOnDisconnect;
   bool mKeepAlive = true;
@@ -928,8 +942,12 @@
   void Start(tcp::socket aSocket)
   {
     auto& counters = mShared->counters;
-    if (counters.open.load() >= mShared->options.maxConnections &&
-        !EvictWaiting()) {
+    const auto& options = mShared->options;
+    const auto open = counters.open.load();
+    const auto most =
+      options.maxConnections + options.maxConnections / kEvictionReserve;
+    if (open >= options.maxConnections &&
+        (!options.evictsWaiting || open >= most || !EvictWaiting())) {
       ReportRefused("");
       return;
     }
--- a/src/node/metadata_store_vm.cpp
+++ b/src/node/metadata_store_vm.cpp
@@ -65,6 +65,12 @@
 constexpr int kMinReceiveBufferBytes = 16 * 1024;
 constexpr int kMaxReceiveBufferBytes = 64 * 1024;
 
+/// How long a request may take to arrive, beyond the time of its body.
+constexpr Duration kMaxRequestTime = Seconds(60);
+
+/// Without a displaced body for this time, the memory of bodies suffices again.
+constexpr Duration kMemoryCalmTime = Seconds(5);
+
 /// Descriptors that are not for sockets.
 constexpr int kFilesReserved = 200;
 
@@ -83,14 +89,20 @@
     // A request needs a connection to a server, too.
     aCallers.maxConnections =
       std::max((aSettings.maxFiles - kFilesReserved) / 2, 1);
+    aCallers.evictsWaiting = true;
   }
   if (aSettings.memoryMegabytes > 0) {
     const double bytes = aSettings.memoryMegabytes * kBytesPerMegabyte;
     http::BodyMemory::SetLimit(
       static_cast<std::size_t>(bytes * kBodyMemoryFraction));
+    aCallers.maxRequestTime = kMaxRequestTime;
+    aCallers.evictsWaiting = true;
     // Linux reserves twice the size that is set.
-    const double perConnection =
-      bytes * kReceiveMemoryFraction / aCallers.maxConnections / 2;
+    const double received = bytes * kReceiveMemoryFraction / 2;
+    aCallers.maxConnections =
+      std::min(aCallers.maxConnections,
+               static_cast<int>(received / kMinReceiveBufferBytes));
+    const double perConnection = received / aCallers.maxConnections;
     aCallers.receiveBufferBytes = static_cast<int>(std::clamp<double>(
       perConnection, kMinReceiveBufferBytes, kMaxReceiveBufferBytes));
     ::mallopt(M_MMAP_THRESHOLD, kMaxPooledBlockBytes);
@@ -552,15 +564,20 @@
       mMetrics.Count(
         "bodies_displaced_total", {}, displaced - mReportedDisplaced);
       mReportedDisplaced = displaced;
+      mLastDisplaced = Clock::now();
       if (!std::exchange(mMemoryUsedUp, true)) {
         mAudit.Add("memory of bodies",
                    "free",
                    "used up",
                    std::to_string(used) + " bytes in use");
       }
-    } else if (mMemoryUsedUp && used == 0) {
+    } else if (mMemoryUsedUp &&
+               Clock::now() - mLastDisplaced >= kMemoryCalmTime) {
       mMemoryUsedUp = false;
-      mAudit.Add("memory of bodies", "used up", "free", "no body is in use");
+      mAudit.Add("memory of bodies",
+                 "used up",
+                 "free",
+                 std::to_string(used) + " bytes in use");
     }
   }
 
@@ -631,6 +648,7 @@
   bool mMembersApplied = false;
   std::size_t mReportedMemory = 0;
   std::uint64_t mReportedDisplaced = 0;
+  TimePoint mLastDisplaced{};
   bool mMemoryUsedUp = false; ///< Since a body was displaced.
   // The members below are also used outside the event loop.
   std::atomic<bool> mDraining{ false };
--- a/src/node/store_follower.cpp
+++ b/src/node/store_follower.cpp
@@ -133,7 +133,10 @@
 StoreFollower::CheckStore()
 {
   mInterrupted = false;
-  const auto reply = co_await mWatcher.Ping(kPingKey);
+  auto reply = co_await mWatcher.Ping(kPingKey);
+  if (IsOutdated(reply)) {
+    reply.status = platform::StoreStatus::kUnreadable;
+  }
   if (!mInterrupted) {
     UpdateHealth(reply.status);
   }
@@ -259,10 +262,13 @@
     const auto watch = mWatchNumber;
     const bool wasWatching = mWatching;
     const bool wasAnswering = mAnswers;
-    const auto reply = co_await mPinger.Ping(kPingKey);
+    auto reply = co_await mPinger.Ping(kPingKey);
     if (!mActive) {
       continue;
     }
+    if (IsOutdated(reply)) {
+      reply.status = platform::StoreStatus::kUnreadable;
+    }
     UpdateHealth(reply.status);
     const bool sameWatch = wasWatching && mWatching && watch == mWatchNumber;
     if (reply.status != platform::StoreStatus::kDone || !sameWatch) {
@@ -303,7 +309,7 @@
   if (aReply.skipped > 0) {
     telemetry::LogWarning("entry-skipped",
                           { { "key", "up to " + aReply.lastKey },
-                            { "revision", aReply.revision },
+                            { "revision", FormatRevision(aReply.revision) },
                             { "problem",
                               std::to_string(aReply.skipped) +
                                 " entries have no key or no revision" } });
--- a/src/policy/allocator.cpp
+++ b/src/policy/allocator.cpp
@@ -322,7 +322,10 @@
   run.incarnation = { running.server->descriptor.id, running.serverStarted };
   run.key = aKey;
   run.trial = running.trial;
-  RecordCrashEvidence(std::move(run), running.job, aReport, aNow);
+  // A crash makes a warm server cold, too, so the state at the send counts.
+  const bool overloaded =
+    running.cold && running.server->warmup.IsOverloaded(aNow);
+  RecordCrashEvidence(std::move(run), running.job, aReport, overloaded, aNow);
   UpdateEstimates(*service, running, aReport, aNow);
   if (aReport.result == SendResult::kWhole) {
     service->pool.LearnOverhead(running, aReport, aNow);
--- a/src/policy/allocator_crashes.cpp
+++ b/src/policy/allocator_crashes.cpp
@@ -30,13 +30,15 @@
   run.incarnation = { aServer, StartOf(aJob.service, aServer) };
   run.key = aKey;
   run.own = true;
-  RecordCrashEvidence(std::move(run), aJob, aReport, aNow);
+  // Only the VM that decides knows how many requests the server got.
+  RecordCrashEvidence(std::move(run), aJob, aReport, false, aNow);
 }
 
 void
 Allocator::RecordCrashEvidence(InterruptedRun aRun,
                                const Job& aJob,
                                const SendReport& aReport,
+                               bool aOverloaded,
                                TimePoint aNow)
 {
   const auto server = aRun.incarnation.server;
@@ -46,10 +48,8 @@
   } else if (result == SendResult::kCut) {
     aRun.traits = TraitsOf(aJob);
   }
-  // A cold server that gets more than it tolerates crashes whatever it runs.
-  const auto* known = FindOrAddService(aJob.service).pool.Find(server);
-  const bool overloaded = known != nullptr && known->warmup.IsOverloaded(aNow);
-  if (result == SendResult::kCut && !overloaded) {
+  // A cold server that got more than it tolerates crashes whatever it runs.
+  if (result == SendResult::kCut && !aOverloaded) {
     mSuspects.RecordInterruption(aRun, aNow);
   }
   if (result == SendResult::kNotSent || result == SendResult::kMoved ||
--- a/src/policy/server_pool.cpp
+++ b/src/policy/server_pool.cpp
@@ -357,9 +357,8 @@
 {
   auto& server = *aRunning.server;
   const bool down =
-    aReport.serverDown ||
-    (aReport.result == SendResult::kNotSent &&
-     HealthSeenFrom(server, aRunning.zone, aNow) != HealthState::kGood);
+    aReport.serverDown || (aReport.result == SendResult::kNotSent &&
+                           aRunning.zone == server.descriptor.zone);
   if (down && mColdRate > 0) {
     server.warmup.BeginCold(mColdRate, mColdLimit.time, aNow);
   }
--- a/tests/untrusted_callers_process_test.cpp
+++ b/tests/untrusted_callers_process_test.cpp
@@ -311,6 +311,20 @@
   ExpectSound();
 }
 
+// Half-sent bodies behind heads with as many fields as fit. Guards against
+// fields that take many times the memory of their text.
+TEST_F(UntrustedCallers, HalfSentBodiesBehindLongHeads)
+{
+  Start();
+  std::string fields;
+  while (fields.size() < 7000) {
+    fields += "a:\r\n";
+  }
+  Crowd crowd(Vm().callerAddress, kCallers);
+  crowd.Send(Head(fields + "Content-Length: 2") + "x");
+  ExpectSound();
+}
+
 // Many sound requests with large bodies at once, more than the server can run.
 TEST_F(UntrustedCallers, ManyLargeBodiesAtOnce)
 {
