--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,6 +2,7 @@
 #include "magnoliatide/http/client.h"
 
 #include "framing.h"
+#include "free_memory.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio.hpp>
@@ -174,7 +175,7 @@
     if (written < mOutgoing.size()) {
       WriteRemaining(written);
     } else {
-      mOutgoing = std::string();
+      FreeMemory(mOutgoing);
     }
     co_return CallStatus::kDone;
   }
@@ -268,7 +269,7 @@
       status = CallStatus::kGaveWay;
     }
     if (status != CallStatus::kDone && aMemory) {
-      aBody = std::string();
+      FreeMemory(aBody);
       aMemory->Clear();
     }
     co_return status;
@@ -409,7 +410,7 @@
         self->mWriting = static_cast<bool>(aError);
         // A reset after the proper end of the connection is a broken pipe.
         self->mWriteFailed = aError && aError != asio::error::broken_pipe;
-        self->mOutgoing = std::string();
+        FreeMemory(self->mOutgoing);
       });
   }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 // The HTTP server, implemented with Boost.Beast.
 #include "magnoliatide/http/server.h"
 
+#include "free_memory.h"
 #include "request_parser.h"
 
 #include <boost/asio.hpp>
@@ -203,7 +204,7 @@
 
   const Request& Incoming() const override { return mRequest; }
 
-  void DropBody() override { mRequest.body = std::string(); }
+  void DropBody() override { FreeMemory(mRequest.body); }
 
   asio::awaitable<void> Respond(Response aResponse,
                                 BodyMemory* aMemory) override
@@ -474,6 +475,7 @@
   /// Frees what the last request has used.
   void FreeRequest()
   {
+    FreeMemory(mRequest.body);
     mRequest = Request();
     mParser.reset();
     mMemory.Clear();
