--- a/tests/untrusted_callers_process_test.cpp
+++ b/tests/untrusted_callers_process_test.cpp
@@ -351,6 +351,30 @@
   ExpectSound();
 }
 
+// The same, each after the answer to the one before, so that no request has to
+// give way. Guards against memory that connections keep once they are idle.
+TEST_F(UntrustedCallers, AnsweredConnectionsKeepNoBody)
+{
+  constexpr int kKept = 40;
+  Start(Milliseconds(1));
+  asio::io_context loop;
+  std::vector<tcp::socket> callers;
+  const tcp::endpoint vm(asio::ip::make_address(Vm().callerAddress.host),
+                         Vm().callerAddress.port);
+  const auto request = Head("Content-Length: " + std::to_string(kBodyLimit)) +
+                       std::string(kBodyLimit, 'x');
+  for (int i = 0; i < kKept; ++i) {
+    auto& caller = callers.emplace_back(loop);
+    caller.connect(vm);
+    asio::write(caller, asio::buffer(request));
+    std::array<char, 16> answer{};
+    caller.read_some(asio::buffer(answer));
+    EXPECT_TRUE(
+      std::string(answer.data(), answer.size()).starts_with("HTTP/1.1 200"));
+  }
+  ExpectSound();
+}
+
 // More connections than descriptors, all of them idle or in the middle of a
 // head.
 TEST_F(UntrustedCallers, MoreConnectionsThanDescriptors)
