--- a/review/kit-2/fleet.py
+++ b/review/kit-2/fleet.py
@@ -450,6 +450,8 @@
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
     code = 2
+    # A time-out of run.sh ends the processes that were started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = asyncio.run(main(record))
         code = 2 if held is None else 0 if held else 1
@@ -460,8 +462,7 @@
     finally:
         record(f"exit {code}")
         print("exit", code)
-        if code != 2 or True:
-            sys.stdout.flush()
+        sys.stdout.flush()
     sys.exit(code)
 
 
